--- /dev/null
+++ b/src/main/java/org/mountlug/Constants.java
@@ -0,0 +1,123 @@
+package org.mountlug;
+
+/**
+ * Every constant of the service, each with its unit and the reason for its value. What the operator's platform decides
+ * (budgets, leases, limits) is not here: it comes with the settings file.
+ */
+public final class Constants {
+    private Constants() {}
+
+    // ---- wire -------------------------------------------------------------------------------------------------
+    /** Bytes; the protocol's limit for a request body and for our answers. */
+    public static final int BODY_MAX = 64 * 1024;
+    /** Tasks; the protocol's limit for one job. */
+    public static final int TASKS_MAX = 100_000;
+    /** Bytes; one buffer holds nearly every message of the protocol, so that a request is read in one call. */
+    public static final int IO_BUFFER = 8 * 1024;
+    /** Characters of a name in a submission; keeps a record far below the state service's value limit. */
+    public static final int NAME_MAX = 120;
+
+    // ---- state service ----------------------------------------------------------------------------------------
+    /** Milliseconds; answers take 10 ms, now and then a few hundred, so a second without one is a lost call. */
+    public static final int STATE_TIMEOUT_MS = 1500;
+    /** Milliseconds a read for a user may take: users hang up on a poll after 2 s. */
+    public static final int POLL_TIMEOUT_MS = 1200;
+    /** Milliseconds a watch stays open; rare enough to cost next to nothing of the request budget. */
+    public static final int WATCH_BLOCK_MS = 10_000;
+    /** Milliseconds between two openings of a watch: a leader's own changes wake its watch, this bounds the echo. */
+    public static final int WATCH_PAUSE_MS = 250;
+    /** Share of the change budget that the leader's flush may use; the rest is for submissions and aborts. */
+    public static final double LEADER_WRITE_SHARE = 0.72;
+    /** Share of the request budget that a node's polls may use, three nodes drawing on the same budget. */
+    public static final double NODE_READ_SHARE = 0.28;
+    /** Share of the request budget kept on a node for submissions and aborts, ahead of polls. */
+    public static final double NODE_SUBMIT_SHARE = 0.2;
+    /** Share of a value's limit that a record may fill; the limit counts JSON characters, we count conservatively. */
+    public static final double VALUE_FILL = 0.85;
+    /** Milliseconds between two flushes: late enough to batch, early enough that "done" is told within 3 s. */
+    public static final int FLUSH_MS = 250;
+    /** Milliseconds a change that nobody waits for (progress of a running array) may wait for company. */
+    public static final int LAZY_FLUSH_MS = 2500;
+    /** Bytes of one transaction; the protocol allows 64 KiB with conditions and keys. */
+    public static final int TXN_BYTES = 48 * 1024;
+    /** Compare-and-set tries of one abort before the user is told to come back. */
+    public static final int ABORT_TRIES = 5;
+
+    // ---- leadership -------------------------------------------------------------------------------------------
+    /** Milliseconds; well below a worker's lease, so that a successor answers before leases run out. */
+    public static final int HOLD_LIFE_MS = 4000;
+    /** Milliseconds between renewals: three may be lost before the hold ends. */
+    public static final int HOLD_RENEW_MS = 1000;
+    /** Milliseconds; a campaign starts after a random part of this, so that two seldom collide. */
+    public static final int CAMPAIGN_SPREAD_MS = 300;
+    /** Milliseconds between looks at the leader key when the watch does not work. */
+    public static final int CAMPAIGN_RETRY_MS = 700;
+    /** Factor by which two steady clocks may differ, doubled (both drift) and rounded up. */
+    public static final double DRIFT = 0.002;
+    /** Seconds kept as margin in every proof that rests on time. */
+    public static final double PROOF_MARGIN_S = 0.5;
+    /** Seconds kept between the last renewal a blind leader may give and the time a cancelled task must be gone. */
+    public static final double CANCEL_MARGIN_S = 2.0;
+
+    // ---- rounds -----------------------------------------------------------------------------------------------
+    /** Milliseconds between rounds of the allocator; the design's figure. */
+    public static final int ROUND_MS = 1000;
+    /** Seconds before a task that failed is tried again, doubled with each failure. */
+    public static final double RETRY_BASE_S = 2.0;
+    /** Seconds; longest wait before a failed task is tried again. */
+    public static final double RETRY_MAX_S = 60.0;
+    /** Seconds before a refused start (no room, busy, unknown) is tried again. */
+    public static final double REFUSED_RETRY_S = 2.0;
+    /** Failures in a row on one machine, of at least two different jobs, before it is quarantined. */
+    public static final int SICK_FAILURES = 2;
+    /** Placed tasks of one job; more would not fit its record. */
+    public static final int ACTIVE_MAX = 400;
+    /** Seconds of warning that the pre-emption of a saving task gets beyond its own saving time. */
+    public static final double SAVE_GRACE_S = 1.0;
+    /** Seconds after a stop order in which nothing else is stopped for the same job. */
+    public static final double PREEMPT_PAUSE_S = 3.0;
+
+    // ---- machines ---------------------------------------------------------------------------------------------
+    /** Milliseconds between two readings of the machine list; it lags by seconds anyway. */
+    public static final int LIST_MS = 8000;
+    /** Milliseconds between two readings of the catalogue; prices move slowly. */
+    public static final int CATALOGUE_MS = 60_000;
+    /** Milliseconds a cloud call may take. */
+    public static final int CLOUD_TIMEOUT_MS = 4000;
+    /** Seconds for which an exhausted kind of machine (type, zone, spot) is not asked for again. */
+    public static final double NO_CAPACITY_S = 15.0;
+    /** Multiple of the nominal boot time after which a machine counts as never coming up; usual is up to 1.5. */
+    public static final double BOOT_GIVE_UP = 2.2;
+    /** Seconds added to that, so that quick types are not judged by a hair. */
+    public static final double BOOT_GIVE_UP_S = 15.0;
+    /** Seconds beyond the lease after which a silent machine is returned. */
+    public static final double SILENT_RELEASE_S = 6.0;
+    /** Seconds an idle machine is kept; a rental costs a boot time and at least 60 s. */
+    public static final double IDLE_KEEP_S = 20.0;
+    /** Seconds of work that a machine must promise before it is rented, at the least. */
+    public static final double HORIZON_MIN_S = 20.0;
+    /** Seconds of queued work that existing machines may be left with, at the most. */
+    public static final double HORIZON_MAX_S = 90.0;
+    /** Share of a job's slack that its tasks may wait for existing machines. */
+    public static final double HORIZON_SHARE = 0.45;
+    /** Factor on spot prices for the work that is lost with a machine. */
+    public static final double SPOT_RISK = 1.15;
+    /** Machines named in one rental or return. */
+    public static final int RENT_MAX = 50;
+    /** Names in one return, the protocol's limit. */
+    public static final int RELEASE_MAX = 100;
+
+    // ---- users ------------------------------------------------------------------------------------------------
+    /** Seconds told to users when something cannot be served. */
+    public static final int RETRY_AFTER_S = 1;
+    /** Final states kept in memory by a node; each takes some 100 bytes. */
+    public static final int FINAL_CACHE = 4000;
+    /** Milliseconds without one served state request after which a node calls itself unhealthy, if a peer is served. */
+    public static final int UNSERVED_MS = 4000;
+
+    // ---- peers ------------------------------------------------------------------------------------------------
+    /** Milliseconds between words to a peer. */
+    public static final int PEER_MS = 1000;
+    /** Milliseconds a peer may take to answer or connect. */
+    public static final int PEER_TIMEOUT_MS = 1500;
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -0,0 +1,283 @@
+package org.mountlug.core.allocate;
+
+import org.mountlug.Constants;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * One round of the design: pipelined gangs first, each task on the machine it is nominated for, then everything
+ * pending from the teams' queues.
+ */
+public final class Allocator {
+    private final Cluster cluster;
+    private final ToDoubleFunction<Job> dueOrder;
+    private final double nowS;
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Map<String, Resources> usage;
+    private final Resources whole;
+    private int placedCount;
+
+    public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, double nowS) {
+        this.cluster = cluster;
+        this.dueOrder = dueOrder;
+        this.nowS = nowS;
+        this.usage = cluster.usage();
+        Resources w = Resources.ZERO;
+        for (Machine m : cluster.machines.values()) {
+            if (!m.usable()) continue;
+            nodes.put(m.name, new Node(m));
+            w = w.plus(m.type.size());
+        }
+        whole = w;
+    }
+
+    public Map<String, Node> nodes() {
+        return nodes;
+    }
+
+    public Map<String, Resources> usage() {
+        return usage;
+    }
+
+    /** Runs the round on the cluster; returns how many tasks were placed. */
+    public int round() {
+        // Last round's reservations stand in the view before anything is tried.
+        for (Map.Entry<String, List<Reservation>> e : cluster.reservations.entrySet()) {
+            Job j = cluster.jobs.get(e.getKey());
+            for (Reservation r : e.getValue()) {
+                Node n = nodes.get(r.machine());
+                if (j != null && n != null) n.pipelined = n.pipelined.plus(j.spec.need());
+            }
+        }
+        List<Job> pipelined = new ArrayList<>();
+        List<Job> pending = new ArrayList<>();
+        for (Job j : cluster.jobs.values()) {
+            boolean gangReady = !j.spec.gang() || j.placed.isEmpty();
+            if (j.cancelled || j.open() <= 0 || !gangReady) {
+                release(j);
+                continue;
+            }
+            (cluster.reservations.containsKey(j.spec.id()) ? pipelined : pending).add(j);
+        }
+        serve(pipelined);
+        serve(pending);
+        return placedCount;
+    }
+
+    private void serve(List<Job> jobs) {
+        TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole);
+        for (Job j = q.next(); j != null; j = q.next()) {
+            if (j.spec.gang()) gang(j);
+            else array(j);
+        }
+    }
+
+    private void release(Job j) {
+        List<Reservation> old = cluster.reservations.remove(j.spec.id());
+        if (old == null) return;
+        for (Reservation r : old) unpipeline(j, r);
+    }
+
+    private void unpipeline(Job j, Reservation r) {
+        Node n = nodes.get(r.machine());
+        if (n != null) n.pipelined = n.pipelined.minus(j.spec.need());
+    }
+
+    private void gang(Job j) {
+        List<Reservation> old = cluster.reservations.getOrDefault(j.spec.id(), List.of());
+        Map<Integer, String> nominated = new HashMap<>();
+        for (Reservation r : old) nominated.put(r.task(), r.machine());
+        for (int t = 0; t < j.spec.tasks(); t++) if (!j.wants(t, nowS)) {
+            release(j);
+            return; // one task still waits out its failure
+        }
+        Resources need = j.spec.need();
+        Resources all = new Resources(need.cpus() * j.spec.tasks(), need.gpus() * j.spec.tasks(),
+                need.ramGb() * j.spec.tasks());
+        Team team = cluster.team(j.spec.team());
+        Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
+        if (team != null && !team.allows(used.plus(all))) {
+            release(j);
+            return;
+        }
+        Statement best = null;
+        // One zone for all: every zone is tried on its own, the nominated one first.
+        for (String zone : zones(j, nominated.values())) {
+            Statement s = new Statement(j);
+            List<Reservation> dropped = new ArrayList<>();
+            Map<String, Integer> perZone = new HashMap<>();
+            for (int t = 0; t < j.spec.tasks(); t++) {
+                String nom = nominated.get(t);
+                Node on = nom == null ? null : nodes.get(nom);
+                if (on != null && allowed(j, on, zone, perZone) && need.fitsIn(on.future())) {
+                    // The note's check counts the task's own reservation; it moves from reserved to tried.
+                    dropped.add(new Reservation(t, nom));
+                    on.pipelined = on.pipelined.minus(need);
+                } else {
+                    if (nom != null) {
+                        dropped.add(new Reservation(t, nom));
+                        if (on != null) on.pipelined = on.pipelined.minus(need);
+                    }
+                    on = scan(j, zone, perZone, nom);
+                }
+                if (on == null) break;
+                perZone.merge(on.machine.zone, 1, Integer::sum);
+                if (on.fitsNow(need)) s.allocate(t, on);
+                else s.pipeline(t, on);
+            }
+            boolean ready = s.ready(j.spec.tasks());
+            if (ready || best == null && s.pipelined(j.spec.tasks())) {
+                if (best != null) {
+                    best.discard();
+                }
+                best = s;
+                for (Reservation r : dropped) nominated.remove(r.task());
+                if (ready) break;
+            } else {
+                s.discard();
+                // Reservations dropped for a try that failed are put back for the next zone's try.
+                for (Reservation r : dropped) {
+                    Node n = nodes.get(r.machine());
+                    if (n != null) n.pipelined = n.pipelined.plus(need);
+                }
+            }
+            if (best != null) break;
+        }
+        if (best == null) {
+            release(j);
+            return;
+        }
+        cluster.reservations.remove(j.spec.id());
+        if (best.ready(j.spec.tasks())) {
+            commit(best);
+            usage.merge(j.spec.team(), all, Resources::plus);
+        } else {
+            cluster.reservations.put(j.spec.id(), best.reserve());
+        }
+    }
+
+    private List<String> zones(Job j, Iterable<String> nominated) {
+        List<String> l = new ArrayList<>();
+        if (!j.spec.oneZone()) {
+            l.add(null);
+            return l;
+        }
+        for (String m : nominated) {
+            Node n = nodes.get(m);
+            if (n != null && !l.contains(n.machine.zone)) l.add(n.machine.zone);
+        }
+        for (Node n : nodes.values()) if (!l.contains(n.machine.zone)) l.add(n.machine.zone);
+        return l;
+    }
+
+    private boolean allowed(Job j, Node n, String zone, Map<String, Integer> perZone) {
+        Machine m = n.machine;
+        return j.spec.allows(m.type.name(), m.zone, m.spot) && (zone == null || zone.equals(m.zone))
+                && (!j.spec.apart() || perZone.getOrDefault(m.zone, 0) < j.spec.zoneMost());
+    }
+
+    /** A full scan: idle room first, else future room; the machine nominated before wins a tie. */
+    private Node scan(Job j, String zone, Map<String, Integer> perZone, String before) {
+        Node now = null;
+        Node later = null;
+        double nowCost = Double.MAX_VALUE;
+        double laterCost = Double.MAX_VALUE;
+        Resources need = j.spec.need();
+        for (Node n : nodes.values()) {
+            if (!allowed(j, n, zone, perZone)) continue;
+            double c = cost(j, n) - (n.machine.name.equals(before) ? 0.5 : 0);
+            if (n.fitsNow(need)) {
+                if (c < nowCost) {
+                    nowCost = c;
+                    now = n;
+                }
+            } else if (need.fitsIn(n.future()) && c < laterCost) {
+                laterCost = c;
+                later = n;
+            }
+        }
+        return now != null ? now : later;
+    }
+
+    /** Lower is better: seconds of fetching, then machines that are busy already, so that others fall idle. */
+    private double cost(Job j, Node n) {
+        Machine m = n.machine;
+        double c = m.images.contains(j.spec.image()) ? 0 : j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
+        if (j.spec.need().gpus() == 0 && m.type.size().gpus() > 0) c += 30;
+        c += 4 * (1 - n.busyShare()) + 5 * m.failures;
+        return c;
+    }
+
+    private void array(Job j) {
+        Resources need = j.spec.need();
+        Team team = cluster.team(j.spec.team());
+        Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
+        int budget = Constants.ACTIVE_MAX - j.placed.size();
+        if (budget <= 0) return;
+        List<Node> fit = new ArrayList<>();
+        for (Node n : nodes.values()) {
+            if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot) && n.countNow(need) > 0) fit.add(n);
+        }
+        if (fit.isEmpty()) return;
+        Map<Node, Double> costs = new HashMap<>();
+        for (Node n : fit) costs.put(n, cost(j, n));
+        fit.sort(Comparator.comparingDouble((Node n) -> costs.get(n)).thenComparing(n -> n.machine.name));
+        Statement s = new Statement(j);
+        Map<String, Integer> perZone = new HashMap<>();
+        String only = null;
+        if (j.spec.oneZone() || j.spec.apart()) for (Placement p : j.placed.values()) {
+            perZone.merge(p.zone, 1, Integer::sum);
+            only = p.zone;
+        }
+        int task = j.done.nextClearBit(0);
+        for (Node n : fit) {
+            String zone = n.machine.zone;
+            if (j.spec.oneZone() && only != null && !only.equals(zone)) continue;
+            int k = n.countNow(need);
+            while (k > 0 && budget > 0) {
+                while (task < j.spec.tasks() && !j.wants(task, nowS)) task++;
+                if (task >= j.spec.tasks()) break;
+                if (j.spec.apart() && perZone.getOrDefault(zone, 0) >= j.spec.zoneMost()) break;
+                if (team != null && !team.allows(used.plus(need))) {
+                    budget = 0;
+                    break;
+                }
+                s.allocate(task++, n);
+                used = used.plus(need);
+                perZone.merge(zone, 1, Integer::sum);
+                if (only == null) only = zone;
+                k--;
+                budget--;
+            }
+            if (task >= j.spec.tasks() || budget <= 0) break;
+        }
+        if (s.ready(1)) {
+            usage.put(j.spec.team(), used);
+            commit(s);
+        }
+    }
+
+    private void commit(Statement s) {
+        Job j = s.job;
+        long attempt = ++j.attempts;
+        for (Statement.Op o : s.ops()) {
+            cluster.place(j, o.task(), attempt, o.node().machine, nowS);
+            o.node().machine.idleSinceS = nowS;
+            placedCount++;
+        }
+        j.touch(nowS, true);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -0,0 +1,51 @@
+package org.mountlug.core.allocate;
+
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Resources;
+
+/** A machine as one round sees it: statements change this view, and only a commit reaches the cluster. */
+public final class Node {
+    public final Machine machine;
+    public Resources idle;
+    public Resources releasing;
+    public Resources pipelined = Resources.ZERO;
+
+    public Node(Machine m) {
+        machine = m;
+        Resources size = m.type == null ? Resources.ZERO : m.type.size();
+        // A stray's size may be unknown; nothing is placed beside one until it is gone.
+        idle = m.strays.isEmpty() ? size.minus(m.used()) : Resources.ZERO;
+        releasing = m.stopping();
+    }
+
+    /** The design's future room. */
+    public Resources future() {
+        return idle.plus(releasing).minus(pipelined);
+    }
+
+    /** Whether a task fits now without taking what a reservation counts on. */
+    public boolean fitsNow(Resources need) {
+        return need.fitsIn(idle) && need.fitsIn(future());
+    }
+
+    /**
+     * How many tasks fit now. Work without accelerators gets only the part of an accelerator machine that its free
+     * accelerators do not need in proportion, or the dear machines fill up with what runs anywhere.
+     */
+    public int countNow(Resources need) {
+        Resources f = future();
+        Resources room = new Resources(Math.min(idle.cpus(), f.cpus()), Math.min(idle.gpus(), f.gpus()),
+                Math.min(idle.ramGb(), f.ramGb()));
+        Resources size = machine.type == null ? Resources.ZERO : machine.type.size();
+        if (need.gpus() == 0 && size.gpus() > 0) {
+            double part = Math.max(0, room.gpus()) / size.gpus();
+            room = room.minus(new Resources(size.cpus() * part, 0, size.ramGb() * part));
+        }
+        return need.countIn(room);
+    }
+
+    public double busyShare() {
+        Resources size = machine.type.size();
+        return size.minus(idle).shareOf(size);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/allocate/Statement.java
@@ -0,0 +1,78 @@
+package org.mountlug.core.allocate;
+
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Reservation;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The tentative placements of one job in one round. They take room in the round's view at once; a commit keeps them,
+ * a discard gives everything back.
+ */
+public final class Statement {
+    /** One task tried: {@code pipelined} if it only has future room. */
+    public record Op(int task, Node node, boolean pipelined) {}
+
+    public final Job job;
+    private final List<Op> ops = new ArrayList<>();
+
+    public Statement(Job job) {
+        this.job = job;
+    }
+
+    public void allocate(int task, Node n) {
+        n.idle = n.idle.minus(job.spec.need());
+        ops.add(new Op(task, n, false));
+    }
+
+    public void pipeline(int task, Node n) {
+        n.pipelined = n.pipelined.plus(job.spec.need());
+        ops.add(new Op(task, n, true));
+    }
+
+    public List<Op> ops() {
+        return ops;
+    }
+
+    public int allocated() {
+        int k = 0;
+        for (Op o : ops) if (!o.pipelined()) k++;
+        return k;
+    }
+
+    /** Ready: every task the job needs at once has its room now. */
+    public boolean ready(int least) {
+        return allocated() >= least;
+    }
+
+    /** Pipelined: placed and pipelined tasks together reach the least. */
+    public boolean pipelined(int least) {
+        return ops.size() >= least;
+    }
+
+    /**
+     * Keeps a pipelined job's whole statement as reservations. Idle room that some tasks found is reserved too, or
+     * the gang would start over when the last task's room comes free.
+     */
+    public List<Reservation> reserve() {
+        List<Reservation> l = new ArrayList<>();
+        for (Op o : ops) {
+            if (!o.pipelined()) {
+                o.node().idle = o.node().idle.plus(job.spec.need());
+                o.node().pipelined = o.node().pipelined.plus(job.spec.need());
+            }
+            l.add(new Reservation(o.task(), o.node().machine.name));
+        }
+        return l;
+    }
+
+    public void discard() {
+        for (int i = ops.size() - 1; i >= 0; i--) {
+            Op o = ops.get(i);
+            if (o.pipelined()) o.node().pipelined = o.node().pipelined.minus(job.spec.need());
+            else o.node().idle = o.node().idle.plus(job.spec.need());
+        }
+        ops.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/allocate/TeamQueues.java
@@ -0,0 +1,73 @@
+package org.mountlug.core.allocate;
+
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+
+import org.mountlug.core.model.Urgency;
+
+/**
+ * A queue for each team and priority. Higher priorities go first; within one, the team that uses least of what it is
+ * due has the next turn, so that no team waits behind another's backlog.
+ */
+public final class TeamQueues {
+    private final EnumMap<Urgency, Map<String, ArrayDeque<Job>>> queues = new EnumMap<>(Urgency.class);
+    private final Function<String, Team> teams;
+    private final Map<String, Resources> usage;
+    private final Resources whole;
+
+    public TeamQueues(Iterable<Job> jobs, ToDoubleFunction<Job> dueOrder, Function<String, Team> teams,
+                      Map<String, Resources> usage, Resources whole) {
+        this.teams = teams;
+        this.usage = usage;
+        this.whole = whole;
+        List<Job> sorted = new ArrayList<>();
+        for (Job j : jobs) sorted.add(j);
+        sorted.sort(Comparator.comparingDouble(dueOrder).thenComparing(j -> j.spec.id()));
+        for (Job j : sorted) {
+            queues.computeIfAbsent(j.spec.urgency(), u -> new HashMap<>())
+                    .computeIfAbsent(j.spec.team(), t -> new ArrayDeque<>()).add(j);
+        }
+    }
+
+    /** The next job, or null; {@code usage} may change between calls. */
+    public Job next() {
+        for (int u = Urgency.values().length - 1; u >= 0; u--) {
+            Map<String, ArrayDeque<Job>> level = queues.get(Urgency.values()[u]);
+            if (level == null) continue;
+            String best = null;
+            double least = Double.MAX_VALUE;
+            for (Map.Entry<String, ArrayDeque<Job>> e : level.entrySet()) {
+                if (e.getValue().isEmpty()) continue;
+                double d = due(e.getKey());
+                if (d < least || d == least && (best == null || e.getKey().compareTo(best) < 0)) {
+                    least = d;
+                    best = e.getKey();
+                }
+            }
+            if (best != null) return level.get(best).poll();
+        }
+        return null;
+    }
+
+    /** What a team uses, as a part of what it is due. */
+    private double due(String name) {
+        Team t = teams.apply(name);
+        Resources u = usage.getOrDefault(name, Resources.ZERO);
+        double weight = t == null ? 1 : t.weight();
+        if (t != null && (t.cpus() > 0 || t.gpus() > 0)) {
+            return u.shareOf(new Resources(t.cpus(), t.gpus(), 0)) / weight;
+        }
+        return 1 + u.shareOf(whole) / weight;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -0,0 +1,390 @@
+package org.mountlug.core.cluster;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import org.mountlug.Constants;
+import org.mountlug.core.model.Cause;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.MachineType;
+import org.mountlug.core.model.Order;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.TaskState;
+import org.mountlug.core.model.Team;
+import org.mountlug.core.scale.Listed;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The leader's picture: live jobs, machines and what each may hold. A placement leaves it only with a proof that the
+ * attempt is gone; see {@link #gone}. No I/O: reports, records and times come in, orders go out.
+ */
+public final class Cluster {
+    private final long token;
+    private final double leaseS;
+    private final Map<String, Team> teams = new LinkedHashMap<>();
+    public final Object2ObjectLinkedOpenHashMap<String, Job> jobs = new Object2ObjectLinkedOpenHashMap<>();
+    public final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
+    public final Map<String, List<Reservation>> reservations = new LinkedHashMap<>();
+    private final Map<String, MachineType> types = new LinkedHashMap<>();
+    /** Machines that are proven gone; the lagging list still shows them for a while. */
+    private final Map<String, Double> departed = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> e) {
+            return size() > 2000;
+        }
+    };
+    /** Revisions at which jobs were moved to the finished ones, so that a late watch does not bring them back. */
+    private final Map<String, Long> finished = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> e) {
+            return size() > 4000;
+        }
+    };
+    /** By class: mean of actual over estimated run time, learnt from finished tasks. */
+    private final Map<String, double[]> pace = new HashMap<>();
+    private final List<String> notes = new ArrayList<>();
+
+    public Cluster(long token, double leaseS, Collection<Team> teams) {
+        this.token = token;
+        this.leaseS = leaseS;
+        for (Team t : teams) this.teams.put(t.name(), t);
+    }
+
+    public long token() {
+        return token;
+    }
+
+    public Collection<Team> teams() {
+        return teams.values();
+    }
+
+    public Team team(String name) {
+        return teams.get(name);
+    }
+
+    public Collection<MachineType> types() {
+        return types.values();
+    }
+
+    /** Decisions worth a line in the log since the last call. */
+    public List<String> takeNotes() {
+        List<String> l = new ArrayList<>(notes);
+        notes.clear();
+        return l;
+    }
+
+    public void note(String s) {
+        notes.add(s);
+    }
+
+    public void catalogue(Collection<MachineType> l) {
+        for (MachineType t : l) {
+            types.put(t.name(), t);
+            for (Machine m : machines.values()) if (m.type != null && m.type.name().equals(t.name())) m.type = t;
+        }
+    }
+
+    public MachineType type(String name) {
+        return types.get(name);
+    }
+
+    /** Everything of a team that is not proven gone, strays included. */
+    public Map<String, Resources> usage() {
+        Map<String, Resources> u = new HashMap<>();
+        for (Job j : jobs.values()) {
+            if (!j.placed.isEmpty()) {
+                Resources n = j.spec.need();
+                int k = j.placed.size();
+                u.merge(j.spec.team(), new Resources(n.cpus() * k, n.gpus() * k, n.ramGb() * k), Resources::plus);
+            }
+        }
+        for (Machine m : machines.values()) {
+            for (Report.Item i : m.strays.values()) {
+                Job j = jobs.get(i.job());
+                if (j != null) u.merge(j.spec.team(), j.spec.need(), Resources::plus);
+            }
+        }
+        return u;
+    }
+
+    /** Run time to expect of a task, the owner's estimate corrected by what the class has shown. */
+    public double expectedS(Job j) {
+        double[] p = pace.get(j.spec.lane());
+        double f = p == null ? 1 : (p[0] + 4) / (p[1] + 4);
+        return Math.max(1, j.spec.expectedS() * Math.min(3, Math.max(0.3, f)));
+    }
+
+    // ---- records ----------------------------------------------------------------------------------------------
+
+    /** Takes in a job as the state service has it, at the start of a term or when a user submitted it. */
+    public void load(Job j, double nowS) {
+        Long over = finished.get(j.spec.id());
+        if (over != null && j.stamp <= over) return;
+        jobs.put(j.spec.id(), j);
+        for (Placement p : j.placed.values()) {
+            Machine m = machines.get(p.machine);
+            if (m == null) {
+                m = new Machine(p.machine, nowS);
+                m.zone = p.zone;
+                machines.put(p.machine, m);
+            }
+            m.placed.put(p.name(), p);
+        }
+    }
+
+    /** A user's abort became durable: nothing that has not been sent may start, the rest must stop. */
+    public void cancelled(Job j, double nowS) {
+        if (!j.cancelled) note("cancelled " + j.spec.id());
+        j.cancelled = true;
+        reservations.remove(j.spec.id());
+        for (Placement p : new ArrayList<>(j.placed.values())) {
+            if (p.version > 0 && p.startSentIn < 0) drop(p); // ours, and no start ever left for it
+            else p.stop(0);
+        }
+        if (j.over()) j.touch(nowS, true);
+    }
+
+    /** The job's record moved to the finished ones at this revision. */
+    public void finished(Job j, long epoch) {
+        finished.put(j.spec.id(), epoch);
+        jobs.remove(j.spec.id());
+        reservations.remove(j.spec.id());
+    }
+
+    /** Places a task; the start leaves only once the record that holds it is durable. */
+    public Placement place(Job j, int task, long attempt, Machine m, double nowS) {
+        Placement p = new Placement(j, task, attempt, m.name, m.zone, m.session, j.version + 1, nowS);
+        j.placed.put(task, p);
+        m.placed.put(p.name(), p);
+        return p;
+    }
+
+    private void drop(Placement p) {
+        p.job.placed.remove(p.task);
+        Machine m = machines.get(p.machine);
+        if (m != null) m.placed.remove(p.name());
+    }
+
+    /** The attempt is proven gone, without a result. */
+    private void gone(Placement p, double nowS, double retryS, String why) {
+        drop(p);
+        Job j = p.job;
+        if (retryS > 0) j.notBefore.put(p.task, nowS + retryS);
+        j.touch(nowS, j.cancelled);
+        note("lost " + p.name() + " try " + p.attempt + " on " + p.machine + ": " + why);
+        // What remains of a gang can neither go on nor be completed: a new attempt needs it out of the way.
+        if (j.spec.gang()) for (Placement q : j.placed.values()) q.stop(0);
+    }
+
+    // ---- reports ----------------------------------------------------------------------------------------------
+
+    /** Takes in a worker's report and says what to answer; null means the reporter knows a newer leader than us. */
+    public List<Order> report(Report r, boolean mayStart, double nowS) {
+        if (r.token() > token) return null;
+        if (departed.containsKey(r.machine())) return List.of(); // a late word of a machine that was returned
+        Machine m = machines.get(r.machine());
+        if (m == null) {
+            m = new Machine(r.machine(), nowS);
+            machines.put(m.name, m);
+            note("found " + m.name + " " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""));
+        }
+        if (!r.newerThan(m.session, m.sequence)) return List.of(); // held back on its way: as old as its sequence
+        if (!m.up) {
+            m.up = true;
+            m.idleSinceS = nowS;
+        }
+        m.type = types.get(r.type());
+        m.zone = r.zone();
+        m.spot = r.spot();
+        m.address = r.address();
+        m.heardS = nowS;
+        if (r.session() != m.session) m.ended.clear();
+        m.session = r.session();
+        m.sequence = r.sequence();
+        if (!Double.isNaN(r.recallS())) {
+            if (Double.isNaN(m.takenS)) note("notice for " + m.name + ": taken in " + r.recallS() + " s");
+            m.takenS = nowS + r.recallS();
+        }
+        // A report under an older token may be followed by an older leader's word; it proves nothing.
+        if (r.token() != token) {
+            m.synced = false;
+            return List.of();
+        }
+        m.synced = true;
+        return settle(m, r, mayStart, nowS);
+    }
+
+    private List<Order> settle(Machine m, Report r, boolean mayStart, double nowS) {
+        List<Order> orders = new ArrayList<>();
+        Map<String, Report.Item> shown = new HashMap<>();
+        for (Report.Item i : r.tasks()) shown.put(Machine.key(i.job(), i.task(), i.attempt()), i);
+        m.strays.clear();
+        for (Placement p : new ArrayList<>(m.placed.values())) {
+            if (p.session < m.session) {
+                gone(p, nowS, 0, "new session");
+                continue;
+            }
+            String key = Machine.key(p.job.spec.id(), p.task, p.attempt);
+            Report.Item i = shown.remove(key);
+            if (i == null) {
+                absent(m, p, r, nowS);
+                continue;
+            }
+            p.seen = true;
+            p.state = i.state();
+            if (i.state() == TaskState.EXITED) {
+                ended(m, p, i, key, nowS);
+            } else {
+                if (i.state() == TaskState.RUNNING && Double.isNaN(p.runningS)) {
+                    p.runningS = nowS;
+                    m.images.remove(p.job.spec.image());
+                    m.images.add(p.job.spec.image());
+                }
+                if (p.stopping) orders.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
+            }
+        }
+        for (Report.Item i : r.tasks()) {
+            String key = Machine.key(i.job(), i.task(), i.attempt());
+            String name = i.job() + "/" + i.task();
+            if (i.state() == TaskState.EXITED) {
+                Machine.Ended e = m.ended.get(key);
+                // Forgetting early would let a repeated start run it again, or lose the result.
+                if (e == null || e.job().durable(e.version()) || jobs.get(i.job()) != e.job()) {
+                    m.ended.remove(key);
+                    orders.add(new Order(Order.Verb.FORGET, name, i.attempt(), 0));
+                }
+            } else if (shown.containsKey(key)) {
+                m.strays.put(key, i);
+                orders.add(new Order(Order.Verb.STOP, name, i.attempt(), 0));
+            }
+        }
+        if (mayStart) for (Placement p : m.placed.values()) {
+            if (p.startSentIn >= 0 || p.seen || p.stopping || p.job.cancelled || p.session != m.session) continue;
+            if (!p.job.durable(p.version) || jobs.get(p.job.spec.id()) != p.job) continue;
+            p.startSentIn = r.sequence();
+            orders.add(new Order(Order.Verb.START, p.name(), p.attempt, 0));
+        }
+        if (!m.empty()) m.idleSinceS = nowS;
+        return orders;
+    }
+
+    /** A newer report lacks an attempt: its start, if any, was dropped for good, since workers drop late answers. */
+    private void absent(Machine m, Placement p, Report r, double nowS) {
+        if (p.seen) {
+            gone(p, nowS, 0, "not reported any more");
+        } else if (p.stopping) {
+            if (p.job.durable(p.version)) gone(p, nowS, 0, "stopped before it began");
+        } else if (p.startSentIn >= 0 && r.sequence() > p.startSentIn) {
+            p.startSentIn = -1; // goes out again with this answer
+        }
+    }
+
+    private void ended(Machine m, Placement p, Report.Item i, String key, double nowS) {
+        Job j = p.job;
+        if (i.cause() == Cause.DONE) {
+            drop(p);
+            m.failedJobs.clear();
+            m.failures = 0;
+            if (!Double.isNaN(p.runningS) && j.spec.expectedS() > 0 && j.spec.checkpointS() == 0) {
+                double[] x = pace.computeIfAbsent(j.spec.lane(), k -> new double[2]);
+                x[0] = x[0] * 0.99 + (nowS - p.runningS) / j.spec.expectedS();
+                x[1] = x[1] * 0.99 + 1;
+            }
+            if (j.spec.gang()) j.done.set(0, j.spec.tasks()); // a gang completes together
+            else j.done.set(p.task);
+            j.failures.remove(p.task);
+            j.touch(nowS, j.complete());
+        } else {
+            double retry = 0;
+            if (i.cause() == Cause.ERROR) {
+                int n = j.failures.addTo(p.task, 1) + 1;
+                retry = Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 1));
+                m.failures++;
+                m.failedJobs.add(j.spec.id());
+                judge(m, j);
+            } else if (i.cause() == Cause.FULL || i.cause() == Cause.BUSY || i.cause() == Cause.UNKNOWN) {
+                retry = Constants.REFUSED_RETRY_S;
+            }
+            gone(p, nowS, retry, "exited " + i.cause() + (i.saved() ? ", saved" : ""));
+        }
+        m.ended.put(key, new Machine.Ended(j, j.version));
+    }
+
+    /**
+     * A machine is condemned when different jobs fail on it in a row, or one job that works elsewhere; a job that was
+     * submitted with a mistake fails everywhere and must not cost us the fleet.
+     */
+    private void judge(Machine m, Job j) {
+        boolean worksElsewhere = !j.done.isEmpty();
+        if (m.failures >= Constants.SICK_FAILURES && (m.failedJobs.size() >= 2 || worksElsewhere) && !m.sick) {
+            m.sick = true;
+            note("quarantined " + m.name + " after " + m.failures + " failures");
+        }
+    }
+
+    // ---- proofs without the worker -----------------------------------------------------------------------------
+
+    /** The cloud has confirmed that the machine and everything on it are gone. */
+    public void machineGone(String name, double nowS, String why) {
+        Machine m = machines.remove(name);
+        departed.put(name, nowS);
+        if (m == null) return;
+        for (Placement p : new ArrayList<>(m.placed.values())) gone(p, nowS, 0, why);
+        note("gone " + name + ": " + why);
+    }
+
+    /**
+     * Leases that have provably run out. Only a worker that has seen our token counts: before that an older leader
+     * may be keeping it alive, and nothing but our own answers renews it after.
+     */
+    public void expireLeases(double nowS) {
+        double after = leaseS * (1 + Constants.DRIFT) + Constants.PROOF_MARGIN_S;
+        for (Machine m : machines.values()) {
+            if (!m.synced || Double.isNaN(m.answeredS) || nowS - m.answeredS <= after) continue;
+            m.synced = false;
+            m.strays.clear();
+            for (Placement p : new ArrayList<>(m.placed.values())) gone(p, nowS, 0, "lease ran out");
+        }
+    }
+
+    /** The cloud's list: adopts what nobody expected; what failed by itself is gone. Returns failed ones to delete. */
+    public List<String> listed(List<Listed> l, double nowS) {
+        List<String> failed = new ArrayList<>();
+        for (Listed x : l) {
+            if (departed.containsKey(x.name())) continue;
+            Machine m = machines.get(x.name());
+            if (x.status() == Listed.Status.FAILED) {
+                machineGone(x.name(), nowS, "failed");
+                failed.add(x.name());
+                continue;
+            }
+            if (m == null) {
+                m = new Machine(x.name(), nowS);
+                m.rentedS = nowS - x.ageS();
+                machines.put(x.name(), m);
+            }
+            if (m.type == null) m.type = types.get(x.type());
+            if (m.zone == null) m.zone = x.zone();
+            if (!m.up) m.spot = x.spot();
+            if (m.address == null) m.address = x.address();
+        }
+        return failed;
+    }
+
+    public void rented(String name, String type, String zone, boolean spot, double nowS) {
+        if (departed.containsKey(name) || machines.containsKey(name)) return;
+        Machine m = new Machine(name, nowS);
+        m.type = types.get(type);
+        m.zone = zone;
+        m.spot = spot;
+        machines.put(name, m);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -0,0 +1,92 @@
+package org.mountlug.core.cluster;
+
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.MachineType;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Resources;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What the leader knows of a machine: what it may hold, what it last said, and what is planned for it. */
+public final class Machine {
+    /** An attempt that ended, kept until its outcome is durable and the worker has been told to forget it. */
+    public record Ended(Job job, long version) {}
+
+    public final String name;
+    public MachineType type;
+    public String zone;
+    public boolean spot;
+    public String address;
+
+    /** Session and sequence of the newest report. */
+    public long session;
+    public long sequence = -1;
+    /** Whether a report carried our own token: from then on no older leader's word can take effect. */
+    public boolean synced;
+    /** Steady seconds of our last answer that may have renewed the worker's lease, NaN if none. */
+    public double answeredS = Double.NaN;
+    /** Steady seconds when last heard of, and when it was rented (or first seen). */
+    public double heardS;
+    public double rentedS;
+    public boolean up;
+    /** Steady seconds when the cloud takes it, NaN while there is no notice. */
+    public double takenS = Double.NaN;
+    /** Whether it is being returned; nothing is placed on it any more. */
+    public boolean releasing;
+    /** Whether its failures have condemned it. */
+    public boolean sick;
+    public double idleSinceS;
+
+    public final Map<String, Placement> placed = new LinkedHashMap<>();
+    /** Attempts it reports that no record places here; they occupy room until they exit. */
+    public final Map<String, Report.Item> strays = new HashMap<>();
+    public final Map<String, Ended> ended = new HashMap<>();
+    public final Set<String> images = new LinkedHashSet<>();
+    /** Jobs whose tasks failed here since the last success. */
+    public final Set<String> failedJobs = new HashSet<>();
+    public int failures;
+
+    public Machine(String name, double nowS) {
+        this.name = name;
+        this.heardS = nowS;
+        this.rentedS = nowS;
+        this.idleSinceS = nowS;
+    }
+
+    public static String key(String job, int task, long attempt) {
+        return job + "/" + task + "#" + attempt;
+    }
+
+    /** Whether new work may be placed here. */
+    public boolean usable() {
+        return type != null && up && synced && !releasing && !sick && Double.isNaN(takenS);
+    }
+
+    public Resources used() {
+        Resources r = Resources.ZERO;
+        for (Placement p : placed.values()) r = r.plus(p.job.spec.need());
+        return r;
+    }
+
+    public Resources stopping() {
+        Resources r = Resources.ZERO;
+        for (Placement p : placed.values()) if (p.stopping) r = r.plus(p.job.spec.need());
+        return r;
+    }
+
+    /** Steady seconds at which it should be up, by its type's nominal boot time. */
+    public double expectedUpS(double nowS) {
+        if (up) return nowS;
+        return Math.max(nowS + 1, rentedS + (type == null ? 60 : type.bootS()));
+    }
+
+    public boolean empty() {
+        return placed.isEmpty() && strays.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/lead/Election.java
@@ -0,0 +1,181 @@
+package org.mountlug.core.lead;
+
+import org.mountlug.Constants;
+
+/**
+ * Who may act for the controllers. A node leads while the leader key on its hold is its own; the key's revision is the
+ * fencing token, which renewals leave alone and every new term raises. Calls say what happened; {@link #next} says what
+ * to do.
+ */
+public final class Election {
+    /** The one step to take now. */
+    public enum Step { NONE, LOOK, OPEN_HOLD, CAMPAIGN, RENEW, DROP_OLD_HOLD }
+
+    private final String label;
+    private final String nonce;
+    private boolean busy;
+    private boolean leading;
+    private long token;
+    private long hold;
+    private double validUntilS = Double.NEGATIVE_INFINITY;
+    private double lastRenewS;
+    private boolean keyFree;
+    private double campaignAtS;
+    private double nextLookS;
+    private String leader;
+    private long seenStamp;
+    private long oldHold;
+
+    /** @param nonce tells this process from an earlier one of the same label */
+    public Election(String label, String nonce) {
+        this.label = label;
+        this.nonce = nonce;
+    }
+
+    public boolean leading() {
+        return leading;
+    }
+
+    public long token() {
+        return token;
+    }
+
+    public long hold() {
+        return hold;
+    }
+
+    public long oldHold() {
+        return oldHold;
+    }
+
+    public String nonce() {
+        return nonce;
+    }
+
+    /** The leader's label as last seen, or null. */
+    public String leader() {
+        return leading ? label : leader;
+    }
+
+    /** Whether the hold is proven to be ours at this time; without that nothing may be started. */
+    public boolean proven(double nowS) {
+        return leading && nowS < validUntilS;
+    }
+
+    public Step next(double nowS) {
+        if (busy) return Step.NONE;
+        if (leading) {
+            if (nowS - lastRenewS < Constants.HOLD_RENEW_MS / 1000.0) return Step.NONE;
+            return act(Step.RENEW);
+        }
+        if (oldHold != 0) return act(Step.DROP_OLD_HOLD);
+        if (keyFree && nowS >= campaignAtS) return act(hold == 0 ? Step.OPEN_HOLD : Step.CAMPAIGN);
+        if (!keyFree && nowS >= nextLookS) {
+            nextLookS = nowS + Constants.CAMPAIGN_RETRY_MS / 1000.0;
+            return act(Step.LOOK);
+        }
+        return Step.NONE;
+    }
+
+    private Step act(Step s) {
+        busy = true;
+        return s;
+    }
+
+    /** The leader key was read; {@code who} null means there is none. {@code random} in [0,1). */
+    public void looked(double nowS, String who, String itsNonce, long itsHold, long stamp, double random) {
+        busy = false;
+        if (leading) return;
+        if (who == null) {
+            if (!keyFree) campaignAtS = nowS + random * Constants.CAMPAIGN_SPREAD_MS / 1000.0;
+            keyFree = true;
+            leader = null;
+            return;
+        }
+        keyFree = false;
+        seenStamp = stamp;
+        leader = who.equals(label) ? null : who;
+        if (!who.equals(label)) return;
+        if (nonce.equals(itsNonce) && itsHold == hold) {
+            won(nowS, stamp); // a campaign whose answer was lost
+        } else {
+            // An earlier process of this label is dead, or we would not run: no need to wait for its hold.
+            oldHold = itsHold;
+        }
+    }
+
+    /** The key was seen to vanish. */
+    public void vanished(double nowS, double random) {
+        if (leading) return;
+        if (!keyFree) campaignAtS = nowS + random * Constants.CAMPAIGN_SPREAD_MS / 1000.0;
+        keyFree = true;
+        leader = null;
+    }
+
+    /** A step got no usable answer. */
+    public void failed(double nowS) {
+        busy = false;
+        if (!leading) {
+            nextLookS = nowS + Constants.CAMPAIGN_RETRY_MS / 1000.0;
+            keyFree = false;
+            hold = 0;
+        } else lastRenewS = nowS - Constants.HOLD_RENEW_MS / 1000.0 * 0.6;
+    }
+
+    public void oldHoldDropped(double nowS) {
+        busy = false;
+        oldHold = 0;
+        nextLookS = nowS;
+    }
+
+    public void holdOpened(double askedS, long id) {
+        busy = false;
+        hold = id;
+        lastRenewS = askedS;
+    }
+
+    public void campaigned(double nowS, boolean success, long epoch) {
+        busy = false;
+        if (success) won(nowS, epoch);
+        else {
+            keyFree = false;
+            hold = 0;
+            nextLookS = nowS;
+        }
+    }
+
+    private void won(double nowS, long stamp) {
+        leading = true;
+        token = stamp;
+        keyFree = false;
+        // The hold was opened at lastRenewS or later, so its life is counted from there.
+        validUntilS = until(lastRenewS);
+    }
+
+    private double until(double askedS) {
+        return askedS + Constants.HOLD_LIFE_MS / 1000.0 * (1 - Constants.DRIFT) - Constants.PROOF_MARGIN_S;
+    }
+
+    /** A renewal was answered; {@code askedS} is when it was sent, the earliest moment from which it counts. */
+    public void renewed(double askedS, boolean alive) {
+        busy = false;
+        if (!leading) return;
+        if (alive) {
+            lastRenewS = askedS;
+            validUntilS = until(askedS);
+        } else depose();
+    }
+
+    /** A guarded transaction failed on the leader key, the hold ended, or a worker knows a higher token. */
+    public void depose() {
+        leading = false;
+        hold = 0;
+        keyFree = false;
+        leader = null;
+        nextLookS = 0;
+    }
+
+    public long seenStamp() {
+        return seenStamp;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/model/Aims.java
@@ -0,0 +1,42 @@
+package org.mountlug.core.model;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** What is expected of each class, turned into one time by which a job should be done. */
+public final class Aims {
+    /** Seconds from submission allowed to a job of a class without aims. */
+    private static final double UNSTATED_S = 300;
+
+    private final Map<String, Double> wait = new HashMap<>();
+    private final Map<String, Double> finished = new HashMap<>();
+
+    public void wait(String lane, double withinS) {
+        wait.merge(lane, withinS, Math::min);
+    }
+
+    public void finished(String lane, double withinS) {
+        finished.merge(lane, withinS, Math::min);
+    }
+
+    /** Seconds after submission by which the job should be done, given how long a task should take. */
+    public double withinS(JobSpec s, double expectedS) {
+        double due = Double.MAX_VALUE;
+        if (!Double.isNaN(s.deadlineS())) due = s.deadlineS();
+        Double f = finished.get(s.lane());
+        if (f != null) due = Math.min(due, f);
+        Double w = wait.get(s.lane());
+        if (w != null) due = Math.min(due, w + expectedS);
+        return due == Double.MAX_VALUE ? UNSTATED_S : due;
+    }
+
+    /** Epoch seconds by which the job should be done. */
+    public double dueEpochS(JobSpec s, double expectedS) {
+        return s.submittedMs() / 1000.0 + withinS(s, expectedS);
+    }
+
+    /** Seconds within which a class's tasks should start, or NaN. */
+    public double waitS(String lane) {
+        return wait.getOrDefault(lane, Double.NaN);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/model/Cause.java
@@ -0,0 +1,4 @@
+package org.mountlug.core.model;
+
+/** Why an attempt ended. */
+public enum Cause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, FULL, BUSY, UNKNOWN, NONE }
--- /dev/null
+++ b/src/main/java/org/mountlug/core/model/JobSpec.java
@@ -0,0 +1,31 @@
+package org.mountlug.core.model;
+
+import java.util.List;
+
+/** What a user asked for; never changes after submission. {@code types} and {@code zone} are null for any. */
+public record JobSpec(String id, String lane, String team, boolean gang, Urgency urgency, int tasks, Resources need,
+                      List<String> types, String zone, boolean oneZone, boolean apart, boolean spot, String image,
+                      double imageGb, double expectedS, double checkpointS, double saveS, double deadlineS,
+                      long submittedMs) {
+
+    /** Whether one task may ever run on this type of machine. */
+    public boolean allows(MachineType t) {
+        if (types != null && !types.contains(t.name())) return false;
+        if (zone != null && !t.zones().contains(zone)) return false;
+        return need.fitsIn(t.size());
+    }
+
+    /** Whether a task may start on this machine, its type, zone and kind considered; room is another question. */
+    public boolean allows(String type, String inZone, boolean isSpot) {
+        return (types == null || types.contains(type)) && (zone == null || zone.equals(inZone)) && (spot || !isSpot);
+    }
+
+    /** The most tasks that may be in one zone at the same time. */
+    public int zoneMost() {
+        return apart ? (tasks + 1) / 2 : tasks;
+    }
+
+    public String taskName(int task) {
+        return id + "/" + task;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/model/Placement.java
@@ -0,0 +1,51 @@
+package org.mountlug.core.model;
+
+/**
+ * One attempt of a task on a machine. It holds its place, its zone and its team's quota from the moment it is decided
+ * until it is proven gone; whether a start command may leave depends on {@link Job#durable}.
+ */
+public final class Placement {
+    public final Job job;
+    public final int task;
+    public final long attempt;
+    public final String machine;
+    public final String zone;
+    /** The worker's session that the start was meant for: a later one proves the attempt gone. */
+    public final long session;
+    /** Version of the job's record that first holds this placement. */
+    public final long version;
+    /** Steady seconds at which it was decided. */
+    public final double sinceS;
+
+    /** Sequence of the report whose answer carried the start, or -1 while none did. */
+    public long startSentIn = -1;
+    /** Whether a report showed the attempt. */
+    public boolean seen;
+    public TaskState state;
+    /** Steady seconds when first reported running, or NaN. */
+    public double runningS = Double.NaN;
+    /** Whether it is to stop, and with how many seconds to save. */
+    public boolean stopping;
+    public double leewayS;
+
+    public Placement(Job job, int task, long attempt, String machine, String zone, long session, long version,
+                     double sinceS) {
+        this.job = job;
+        this.task = task;
+        this.attempt = attempt;
+        this.machine = machine;
+        this.zone = zone;
+        this.session = session;
+        this.version = version;
+        this.sinceS = sinceS;
+    }
+
+    public void stop(double leeway) {
+        if (!stopping || leeway < leewayS) leewayS = leeway;
+        stopping = true;
+    }
+
+    public String name() {
+        return job.spec.taskName(task);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/model/Resources.java
@@ -0,0 +1,42 @@
+package org.mountlug.core.model;
+
+/** What a task takes of a machine, or a machine offers. Amounts are decimal, so comparisons allow for rounding. */
+public record Resources(double cpus, double gpus, double ramGb) {
+    public static final Resources ZERO = new Resources(0, 0, 0);
+    private static final double EPS = 1e-6;
+
+    public Resources plus(Resources o) {
+        return new Resources(cpus + o.cpus, gpus + o.gpus, ramGb + o.ramGb);
+    }
+
+    public Resources minus(Resources o) {
+        return new Resources(cpus - o.cpus, gpus - o.gpus, ramGb - o.ramGb);
+    }
+
+    /** Whether this much fits into {@code room}. */
+    public boolean fitsIn(Resources room) {
+        return cpus <= room.cpus + EPS && gpus <= room.gpus + EPS && ramGb <= room.ramGb + EPS;
+    }
+
+    /** How many of this fit into {@code room} side by side. */
+    public int countIn(Resources room) {
+        double n = Integer.MAX_VALUE;
+        if (cpus > 0) n = Math.min(n, (room.cpus + EPS) / cpus);
+        if (gpus > 0) n = Math.min(n, (room.gpus + EPS) / gpus);
+        if (ramGb > 0) n = Math.min(n, (room.ramGb + EPS) / ramGb);
+        return (int) Math.max(0, Math.floor(n));
+    }
+
+    /** The largest share of any one resource that this takes of {@code whole}. */
+    public double shareOf(Resources whole) {
+        double s = 0;
+        if (whole.cpus > 0) s = Math.max(s, cpus / whole.cpus);
+        if (whole.gpus > 0) s = Math.max(s, gpus / whole.gpus);
+        if (whole.ramGb > 0) s = Math.max(s, ramGb / whole.ramGb);
+        return s;
+    }
+
+    public boolean isZero() {
+        return cpus <= EPS && gpus <= EPS && ramGb <= EPS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/model/TaskState.java
@@ -0,0 +1,4 @@
+package org.mountlug.core.model;
+
+/** What a worker says of an attempt. */
+public enum TaskState { FETCHING, WAITING, RUNNING, SAVING, EXITED }
--- /dev/null
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -0,0 +1,111 @@
+package org.mountlug.core.preempt;
+
+import org.mountlug.Constants;
+import org.mountlug.core.allocate.Node;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.JobSpec;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Stops tasks where the protocol allows it: for a job of higher priority, or for a team that is below its guarantee
+ * and at the cost of one above its own. The room becomes releasing room, which the next round reserves for the gang.
+ */
+public final class Preemptor {
+    private final Cluster cluster;
+    private final Map<String, Double> lastFor = new HashMap<>();
+
+    public Preemptor(Cluster cluster) {
+        this.cluster = cluster;
+    }
+
+    public void round(Collection<Job> unplaced, Map<String, Node> nodes, Map<String, Resources> usage, double nowS) {
+        lastFor.keySet().removeIf(id -> !cluster.jobs.containsKey(id));
+        for (Job j : unplaced) {
+            // Work without accelerators is queued, not forced in: it has plenty of cheap machines to wait for.
+            if (j.cancelled || j.spec.need().gpus() == 0 || cluster.reservations.containsKey(j.spec.id())) continue;
+            if (nowS - lastFor.getOrDefault(j.spec.id(), -1e9) < Constants.PREEMPT_PAUSE_S) continue;
+            if (j.spec.gang() && !j.placed.isEmpty()) continue;
+            Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
+            Team team = cluster.team(j.spec.team());
+            if (team != null && !team.allows(used.plus(j.spec.need()))) continue;
+            boolean due = team != null && team.guarantees(used.plus(j.spec.need()));
+            int left = j.spec.gang() ? j.spec.tasks() : Math.min(j.open(), 4);
+            boolean any = false;
+            while (left-- > 0) {
+                List<Placement> victims = cheapest(j.spec, due, nodes, usage, nowS);
+                if (victims == null) break;
+                for (Placement v : victims) {
+                    v.stop(v.job.spec.checkpointS() > 0 ? v.job.spec.saveS() + Constants.SAVE_GRACE_S : 0);
+                    if (v.job.spec.gang()) for (Placement q : v.job.placed.values()) q.stop(v.leewayS);
+                    Node n = nodes.get(v.machine);
+                    n.releasing = n.releasing.plus(v.job.spec.need());
+                    cluster.note("preempted " + v.name() + " on " + v.machine + " for " + j.spec.id());
+                }
+                Node n = nodes.get(victims.get(0).machine);
+                n.pipelined = n.pipelined.plus(j.spec.need());
+                any = true;
+            }
+            if (any) lastFor.put(j.spec.id(), nowS);
+        }
+    }
+
+    private List<Placement> cheapest(JobSpec s, boolean due, Map<String, Node> nodes, Map<String, Resources> usage,
+                                     double nowS) {
+        List<Placement> best = null;
+        double least = Double.MAX_VALUE;
+        for (Node n : nodes.values()) {
+            if (!s.allows(n.machine.type.name(), n.machine.zone, n.machine.spot)) continue;
+            if (!s.need().fitsIn(n.machine.type.size())) continue;
+            List<Placement> may = new ArrayList<>();
+            for (Placement p : n.machine.placed.values()) {
+                if (!p.stopping && mayStop(s, due, p, usage)) may.add(p);
+            }
+            may.sort(Comparator.comparingDouble(p -> loss(p, nowS)));
+            Resources room = n.future();
+            List<Placement> taken = new ArrayList<>();
+            double cost = 0;
+            for (Placement p : may) {
+                if (s.need().fitsIn(room)) break;
+                room = room.plus(p.job.spec.need());
+                taken.add(p);
+                cost += loss(p, nowS);
+            }
+            if (!taken.isEmpty() && s.need().fitsIn(room) && cost < least) {
+                least = cost;
+                best = taken;
+            }
+        }
+        return best;
+    }
+
+    private boolean mayStop(JobSpec s, boolean due, Placement p, Map<String, Resources> usage) {
+        JobSpec v = p.job.spec;
+        if (v.urgency().compareTo(s.urgency()) < 0) return true;
+        if (!due || v.team().equals(s.team())) return false;
+        Team other = cluster.team(v.team());
+        Resources used = usage.getOrDefault(v.team(), Resources.ZERO);
+        // Only what runs beyond the other team's own guarantee may be taken back.
+        return other != null && (other.gpus() > 0 || other.cpus() > 0)
+                && !other.guarantees(used.minus(v.need())) ;
+    }
+
+    /** Seconds of work that a stop would waste: all of it without checkpoints, the saving otherwise. */
+    private double loss(Placement p, double nowS) {
+        JobSpec s = p.job.spec;
+        double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
+        double share = s.need().gpus() > 0 ? s.need().gpus() : s.need().cpus() / 16;
+        double left = Math.max(0, cluster.expectedS(p.job) - ran);
+        double waste = s.checkpointS() > 0 ? s.saveS() + 5 : ran + 5;
+        return share * waste + (left < 5 ? 20 : 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/scale/Rental.java
@@ -0,0 +1,4 @@
+package org.mountlug.core.scale;
+
+/** A request for machines; its name is unique over all time and all nodes. */
+public record Rental(String name, String type, String zone, boolean spot, int count) {}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -0,0 +1,234 @@
+package org.mountlug.core.scale;
+
+import org.mountlug.Constants;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Aims;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.JobSpec;
+import org.mountlug.core.model.MachineType;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides which machines to rent and which to return. Queued work is laid, as a fluid, over the machines there are and
+ * those that boot; what does not fit within a part of its slack is worth a new machine of the kind that serves it most
+ * cheaply.
+ */
+public final class Scaler {
+    private final Cluster cluster;
+    private final Aims aims;
+    private final double leaseS;
+    private final double idleKeepS;
+    private final double spotRisk;
+    /** Kinds of machine that were refused, with the steady seconds until which they are not asked for. */
+    private final Map<String, Double> exhausted = new HashMap<>();
+    private long counter;
+
+    public Scaler(Cluster cluster, Aims aims, double leaseS, double idleKeepS, double spotRisk) {
+        this.cluster = cluster;
+        this.aims = aims;
+        this.leaseS = leaseS;
+        this.idleKeepS = idleKeepS;
+        this.spotRisk = spotRisk;
+    }
+
+    private static String kind(String type, String zone, boolean spot) {
+        return type + "|" + zone + "|" + spot;
+    }
+
+    public void refused(Rental r, double nowS) {
+        exhausted.put(kind(r.type(), r.zone(), r.spot()), nowS + Constants.NO_CAPACITY_S);
+    }
+
+    /** Room of a machine, in parts of the machine times seconds. */
+    private static final class Vessel {
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        final double bootS;
+        double load;
+
+        Vessel(MachineType type, String zone, boolean spot, double bootS) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.bootS = bootS;
+        }
+
+        /** How many tasks it takes within the horizon; one wave at least if it is still empty. */
+        int takes(JobSpec s, double estS, double horizonS, int want) {
+            int slots = s.need().countIn(type.size());
+            if (slots == 0) return 0;
+            double t = Math.max(horizonS - bootS, bootS > 0 ? Math.min(estS, horizonS) : 0);
+            if (t <= 0) return 0;
+            double each = Math.min(estS, t) / slots;
+            int k = (int) Math.min(want, Math.floor((t - load) / each + 1e-6));
+            if (k <= 0) return 0;
+            load += k * each;
+            return k;
+        }
+    }
+
+    /** Seconds that a job's tasks may wait for machines that exist already. */
+    private double horizonS(Job j, double nowEpochS) {
+        double est = cluster.expectedS(j);
+        double slack = aims.dueEpochS(j.spec, est) - nowEpochS - est;
+        return Math.min(Constants.HORIZON_MAX_S, Math.max(Constants.HORIZON_MIN_S, slack * Constants.HORIZON_SHARE));
+    }
+
+    /** What to rent now, at most one request of a kind. */
+    public List<Rental> rentals(double nowS, double nowEpochS) {
+        List<Vessel> vessels = new ArrayList<>();
+        for (Machine m : cluster.machines.values()) {
+            if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS)) continue;
+            if (m.up && nowS - m.heardS > leaseS) continue;
+            Vessel v = new Vessel(m.type, m.zone, m.spot, m.up ? 0 : m.expectedUpS(nowS) - nowS);
+            for (Placement p : m.placed.values()) {
+                double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
+                double left = Math.max(2, cluster.expectedS(p.job) - ran);
+                v.load += left * p.job.spec.need().shareOf(m.type.size());
+            }
+            vessels.add(v);
+        }
+        vessels.sort(Comparator.comparingDouble(v -> v.bootS));
+        List<Job> jobs = new ArrayList<>();
+        for (Job j : cluster.jobs.values()) {
+            if (!j.cancelled && j.open() > 0 && !cluster.reservations.containsKey(j.spec.id())) jobs.add(j);
+        }
+        jobs.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
+                .thenComparingDouble(j -> aims.dueEpochS(j.spec, cluster.expectedS(j))));
+        Map<String, Resources> usage = cluster.usage();
+        Map<String, Integer> wanted = new HashMap<>();
+        Map<String, Rental> out = new HashMap<>();
+        for (Job j : jobs) {
+            JobSpec s = j.spec;
+            int n = j.open();
+            Team team = cluster.team(s.team());
+            if (team != null) {
+                Resources used = usage.getOrDefault(s.team(), Resources.ZERO);
+                double c = team.cpusMax() > 0 ? team.cpusMax() - used.cpus() : 1e12;
+                double g = team.gpusMax() > 0 ? team.gpusMax() - used.gpus() : 1e12;
+                n = Math.min(n, s.need().countIn(new Resources(c, g, 1e12)));
+                if (n <= 0) continue;
+                usage.merge(s.team(), new Resources(s.need().cpus() * n, s.need().gpus() * n, 0), Resources::plus);
+            }
+            double est = cluster.expectedS(j);
+            double horizon = horizonS(j, nowEpochS);
+            for (Vessel v : vessels) {
+                if (n <= 0) break;
+                if (!s.allows(v.type.name(), v.zone, v.spot)) continue;
+                if (s.need().gpus() == 0 && v.type.size().gpus() > 0) continue;
+                n -= v.takes(s, est, horizon, n);
+            }
+            while (n > 0) {
+                Vessel best = null;
+                int machines = 0;
+                double least = Double.MAX_VALUE;
+                for (MachineType t : cluster.types()) {
+                    if (!s.allows(t) || s.need().gpus() == 0 && t.size().gpus() > 0) continue;
+                    for (String zone : t.zones()) for (int k = 0; k < 2; k++) {
+                        boolean spot = k == 1;
+                        if (!s.allows(t.name(), zone, spot)) continue;
+                        if (exhausted.getOrDefault(kind(t.name(), zone, spot), 0.0) > nowS) continue;
+                        int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, n);
+                        if (per == 0) continue;
+                        int count = (n + per - 1) / per;
+                        double busy = Math.max(30, est * Math.ceil((double) n / count
+                                / Math.max(1, s.need().countIn(t.size()))));
+                        double c = count * t.price(spot) * (spot ? spotRisk : 1) * (t.bootS() + busy);
+                        if (c < least) {
+                            least = c;
+                            best = new Vessel(t, zone, spot, t.bootS());
+                            machines = count;
+                        }
+                    }
+                }
+                if (best == null) break;
+                String kind = kind(best.type.name(), best.zone, best.spot);
+                int have = wanted.getOrDefault(kind, 0);
+                int take = Math.min(machines, Constants.RENT_MAX - have);
+                if (take <= 0) break;
+                wanted.put(kind, have + take);
+                for (int i = 0; i < take && n > 0; i++) {
+                    Vessel v = new Vessel(best.type, best.zone, best.spot, best.bootS);
+                    n -= Math.max(1, v.takes(s, est, horizon, n));
+                    vessels.add(v);
+                }
+                Rental old = out.get(kind);
+                out.put(kind, new Rental(old == null ? "h-" + cluster.token() + "-" + ++counter : old.name(),
+                        best.type.name(), best.zone, best.spot, have + take));
+            }
+        }
+        return new ArrayList<>(out.values());
+    }
+
+    /** Machines to return now: idle, condemned, never up, or silent beyond their lease. Marks them. */
+    public List<String> returns(double nowS) {
+        List<String> out = new ArrayList<>();
+        Set<String> reserved = new HashSet<>();
+        cluster.reservations.values().forEach(l -> l.forEach(r -> reserved.add(r.machine())));
+        int up = 0;
+        int silent = 0;
+        double quiet = leaseS + Constants.SILENT_RELEASE_S;
+        for (Machine m : cluster.machines.values()) {
+            if (!m.up && m.placed.isEmpty()) continue;
+            up++;
+            if (nowS - m.heardS > quiet) silent++;
+        }
+        // When most are silent it is more likely us who cannot hear.
+        boolean trustSilence = silent * 2 <= up || up <= 2;
+        for (Machine m : cluster.machines.values()) {
+            if (m.releasing) {
+                out.add(m.name); // asked for before without an answer: asking again is harmless
+                continue;
+            }
+            String why = null;
+            boolean known = m.type != null;
+            double boot = known ? m.type.bootS() : 60;
+            if (!m.up && m.placed.isEmpty()) {
+                double since = Math.max(nowS - m.rentedS, 0);
+                if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S) why = "never came up";
+            } else if (nowS - m.heardS > quiet) {
+                if (trustSilence) why = "silent";
+            } else if (m.sick && m.placed.isEmpty()) {
+                why = "sick";
+            } else if (m.synced && m.empty() && !reserved.contains(m.name)
+                    && nowS - m.idleSinceS > idleKeepS + 0.75 * boot) {
+                why = "idle";
+            }
+            if (why == null) continue;
+            m.releasing = true;
+            cluster.note("returning " + m.name + ": " + why);
+            out.add(m.name);
+        }
+        return out.size() > Constants.RELEASE_MAX ? out.subList(0, Constants.RELEASE_MAX) : out;
+    }
+
+    /** Tasks on machines that the cloud is about to take: they save and move on, the rest may finish in time. */
+    public void drain(double nowS) {
+        for (Machine m : cluster.machines.values()) {
+            if (Double.isNaN(m.takenS) && !m.sick) continue;
+            for (Placement p : m.placed.values()) {
+                JobSpec s = p.job.spec;
+                if (p.stopping || Double.isNaN(m.takenS) && s.checkpointS() == 0) continue;
+                double left = Double.isNaN(m.takenS) ? 60 : m.takenS - nowS;
+                double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
+                if (s.checkpointS() > 0 && left <= s.saveS() + 4 || s.gang() && left <= s.saveS() + 5
+                        || s.checkpointS() > 0 && cluster.expectedS(p.job) - ran > left) {
+                    p.stop(Math.max(s.saveS(), Math.min(left, s.saveS() + Constants.SAVE_GRACE_S)));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -0,0 +1,557 @@
+package org.mountlug.node;
+
+import org.mountlug.Constants;
+import org.mountlug.cloud.CloudCodec;
+import org.mountlug.core.allocate.Allocator;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.lead.Election;
+import org.mountlug.core.model.Aims;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.MachineType;
+import org.mountlug.core.model.Order;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.core.preempt.Preemptor;
+import org.mountlug.core.scale.Rental;
+import org.mountlug.core.scale.Scaler;
+import org.mountlug.settings.Operators;
+import org.mountlug.settings.Settings;
+import org.mountlug.store.Budget;
+import org.mountlug.store.Change;
+import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateClient;
+import org.mountlug.wire.Fields;
+import org.mountlug.wire.Http;
+import io.undertow.util.Methods;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+
+/**
+ * One term of leadership: loads the live work, answers workers, runs the rounds and writes what they decide. A new term
+ * gets a new object, so nothing of an older one survives. Runs on the I/O thread.
+ */
+final class Leader {
+    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+
+    private record Item(Job job, boolean over, long version, String writeId) {}
+
+    private final Settings settings;
+    private final Election election;
+    private final StateClient state;
+    private final Http cloud;
+    private final DoubleSupplier clockS;
+    private final Aims aims;
+    private final Cluster cluster;
+    private final Scaler scaler;
+    private final Preemptor preemptor;
+    private final FinalStates finals;
+    private final Budget writes;
+    private final Metrics metrics;
+    private boolean loaded;
+    private boolean ended;
+    private long watchFrom;
+    /** Steady seconds up to which every abort of any node is known to us. */
+    private double viewS;
+
+    private List<Item> inFlight;
+    private Change change;
+    private boolean waiting;
+    private boolean unknown;
+    private double retryAtS;
+    private long writeCounter;
+    private Map<String, List<Reservation>> reservationsWritten = new HashMap<>();
+    private Map<String, List<Reservation>> reservationsInFlight;
+
+    private final ArrayDeque<Rental> rentals = new ArrayDeque<>();
+    private boolean renting;
+    private int rentTries;
+    private boolean returning;
+    private boolean listing;
+    private double nextRoundS;
+    private double nextListS;
+    private double nextCatalogueS;
+    private double nextFlushS;
+
+    Leader(Settings settings, Operators operators, Election election, StateClient state, Http cloud,
+           DoubleSupplier clockS, Aims aims, Collection<MachineType> types, FinalStates finals, Metrics metrics) {
+        this.settings = settings;
+        this.election = election;
+        this.state = state;
+        this.cloud = cloud;
+        this.clockS = clockS;
+        this.aims = aims;
+        this.finals = finals;
+        this.metrics = metrics;
+        cluster = new Cluster(election.token(), settings.leaseS(), settings.teams());
+        cluster.catalogue(types);
+        scaler = new Scaler(cluster, aims, settings.leaseS(), operators.idleKeepS(), operators.spotRisk());
+        preemptor = new Preemptor(cluster);
+        double w = settings.stateWriteRps() * Constants.LEADER_WRITE_SHARE;
+        writes = new Budget(w, w);
+        viewS = clockS.getAsDouble();
+        load(null, true);
+    }
+
+    Cluster cluster() {
+        return cluster;
+    }
+
+    boolean loaded() {
+        return loaded;
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    // ---- loading ----------------------------------------------------------------------------------------------
+
+    private void load(String after, boolean first) {
+        state.list(RecordCodec.LIVE, after, a -> {
+            if (ended) return;
+            if (a.status() != 200) {
+                LOG.debug("loading: state service answered {}", a.status());
+                later(() -> load(after, first), 300);
+                return;
+            }
+            double now = clockS.getAsDouble();
+            if (first) watchFrom = Fields.num(a.body(), "epoch", 0);
+            String last = null;
+            for (Object o : Fields.list(a.body(), "rows")) {
+                Map<String, Object> r = Fields.map(o);
+                last = Fields.str(r, "k");
+                record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0), now);
+            }
+            if (Fields.bool(a.body(), "hasNext") && last != null) load(last, false);
+            else loadReservations();
+        });
+    }
+
+    private void loadReservations() {
+        state.list(RecordCodec.RESERVED, null, a -> {
+            if (ended) return;
+            if (a.status() != 200) {
+                later(this::loadReservations, 300);
+                return;
+            }
+            for (Object o : Fields.list(a.body(), "rows")) {
+                Map<String, Object> r = Fields.map(o);
+                String id = Fields.str(r, "k").substring(RecordCodec.RESERVED.length());
+                List<Reservation> l = RecordCodec.reservations(Fields.map(r.get("v")));
+                reservationsWritten.put(id, l);
+                if (cluster.jobs.containsKey(id)) cluster.reservations.put(id, l);
+            }
+            loaded = true;
+            LOG.info("leading with token {}: {} live jobs, {} machines with tasks", cluster.token(),
+                    cluster.jobs.size(), cluster.machines.size());
+            watch();
+        });
+    }
+
+    private java.util.function.BiConsumer<Runnable, Integer> timer;
+
+    void timer(java.util.function.BiConsumer<Runnable, Integer> t) {
+        timer = t;
+    }
+
+    private void later(Runnable r, int ms) {
+        timer.accept(() -> {
+            if (!ended) r.run();
+        }, ms);
+    }
+
+    private void watch() {
+        double asked = clockS.getAsDouble();
+        state.watch(RecordCodec.LIVE, watchFrom, 2000, a -> {
+            if (ended) return;
+            double now = clockS.getAsDouble();
+            if (a.status() == 200) {
+                viewS = Math.max(viewS, asked);
+                watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
+                for (Object o : Fields.list(a.body(), "news")) {
+                    Map<String, Object> e = Fields.map(o);
+                    String put = Fields.str(e, "put");
+                    if (put != null) {
+                        record(put.substring(RecordCodec.LIVE.length()), Fields.map(e.get("v")),
+                                Fields.num(e, "stamp", 0), now);
+                    }
+                }
+                later(this::watch, Constants.WATCH_PAUSE_MS);
+            } else if (a.status() == 410) {
+                reload(null, true);
+            } else later(this::watch, 500);
+        });
+    }
+
+    private void reload(String after, boolean first) {
+        state.list(RecordCodec.LIVE, after, a -> {
+            if (ended) return;
+            if (a.status() != 200) {
+                later(() -> reload(after, first), 500);
+                return;
+            }
+            if (first) watchFrom = Fields.num(a.body(), "epoch", 0);
+            String last = null;
+            for (Object o : Fields.list(a.body(), "rows")) {
+                Map<String, Object> r = Fields.map(o);
+                last = Fields.str(r, "k");
+                record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0),
+                        clockS.getAsDouble());
+            }
+            if (Fields.bool(a.body(), "hasNext") && last != null) reload(last, false);
+            else watch();
+        });
+    }
+
+    /** A record as the state service shows it: new, our own write, or one that a user's abort has changed. */
+    private void record(String id, Map<String, Object> v, long stamp, double now) {
+        Job j = cluster.jobs.get(id);
+        if (j == null) {
+            Job n = RecordCodec.job(id, v, stamp, now);
+            cluster.load(n, now);
+            if (n.cancelled && cluster.jobs.get(id) == n) {
+                n.cancelled = false;
+                cluster.cancelled(n, now);
+            }
+            return;
+        }
+        if (stamp <= j.stamp) return;
+        String w = Fields.str(v, "w", "");
+        if (inFlight != null) for (Item i : inFlight) if (i.job == j && i.writeId.equals(w)) persisted(i, stamp);
+        if (!w.equals(j.writeId)) {
+            LOG.error("record of {} was written by somebody else", id);
+            return;
+        }
+        j.stamp = stamp;
+        if (Fields.bool(v, "x") && !j.cancelled) cluster.cancelled(j, now);
+    }
+
+    private void persisted(Item i, long stamp) {
+        Job j = i.job;
+        if (i.over) {
+            cluster.finished(j, stamp);
+            finals.put(j.spec.id(), j.complete(), j.spec.tasks());
+            metrics.finished(j.complete());
+            return;
+        }
+        j.stamp = Math.max(j.stamp, stamp);
+        j.writeId = i.writeId;
+        if (i.version > j.persisted) j.persisted = i.version;
+        if (!j.dirty()) {
+            j.dirtySinceS = Double.NaN;
+            j.urgent = false;
+        } else j.dirtySinceS = clockS.getAsDouble();
+    }
+
+    // ---- workers ----------------------------------------------------------------------------------------------
+
+    /** Whether workers' leases may be renewed: not after a cancelled task might be kept alive by that. */
+    boolean mayRenew(double nowS) {
+        return nowS < viewS + settings.cancelS() - settings.leaseS() * (1 + Constants.DRIFT) - Constants.CANCEL_MARGIN_S;
+    }
+
+    /** The peers have shown that nobody was served after our last view, up to this time. */
+    void viewHolds(double untilS) {
+        viewS = Math.max(viewS, untilS);
+    }
+
+    double viewS() {
+        return viewS;
+    }
+
+    /** Orders for a worker, or null if we are deposed. */
+    List<Order> report(Report r) {
+        double now = clockS.getAsDouble();
+        if (r.token() > cluster.token()) return null;
+        if (!loaded) return List.of();
+        List<Order> orders = cluster.report(r, election.proven(now), now);
+        if (orders != null) {
+            Machine m = cluster.machines.get(r.machine());
+            if (m != null) m.answeredS = now;
+        }
+        return orders;
+    }
+
+    // ---- the clock --------------------------------------------------------------------------------------------
+
+    void tick() {
+        if (ended || !loaded) return;
+        double now = clockS.getAsDouble();
+        if (now >= nextCatalogueS) catalogue(now);
+        if (now >= nextListS && !listing) list(now, null, new ArrayList<>());
+        if (now >= nextRoundS) {
+            nextRoundS = Math.max(nextRoundS + Constants.ROUND_MS / 1000.0, now + Constants.ROUND_MS / 2000.0);
+            round(now);
+        }
+        if (now >= nextFlushS) {
+            nextFlushS = now + Constants.FLUSH_MS / 1000.0;
+            flush(now);
+        }
+    }
+
+    private void round(double now) {
+        // Judging by silence needs a hold: otherwise another leader may be keeping the machines alive.
+        if (!election.proven(now)) return;
+        cluster.expireLeases(now);
+        scaler.drain(now);
+        double epochS = System.currentTimeMillis() / 1000.0;
+        Allocator round = new Allocator(cluster, j -> aims.dueEpochS(j.spec, cluster.expectedS(j)), now);
+        int placed = round.round();
+        metrics.placed(placed);
+        List<Job> unplaced = new ArrayList<>();
+        for (Job j : cluster.jobs.values()) if (!j.cancelled && j.open() > 0) unplaced.add(j);
+        unplaced.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
+                .thenComparingDouble(j -> aims.dueEpochS(j.spec, j.spec.expectedS())));
+        preemptor.round(unplaced, round.nodes(), round.usage(), now);
+        if (rentals.isEmpty() && !renting) {
+            rentals.addAll(scaler.rentals(now, epochS));
+            rent();
+        }
+        if (!returning) release(scaler.returns(now));
+        for (String s : cluster.takeNotes()) LOG.info("{}", s);
+        metrics.fleet(cluster.jobs.size(), cluster.machines.size());
+    }
+
+    // ---- flush ------------------------------------------------------------------------------------------------
+
+    private void flush(double now) {
+        if (waiting || now < retryAtS) return;
+        if (change != null) {
+            send();
+            return;
+        }
+        if (!election.proven(now)) return;
+        int room = (int) Math.min(settings.txnOps(), Math.floor(writes.level(now) + 1e-9));
+        if (room < 1) return;
+        Change c = new Change().guard(RecordCodec.LEADER, cluster.token());
+        List<Item> items = new ArrayList<>();
+        int bytes = 0;
+        List<Job> dirty = new ArrayList<>();
+        for (Job j : cluster.jobs.values()) {
+            if (j.over() && !j.dirty()) j.touch(now, true);
+            if (j.dirty() && (j.urgent || now - j.dirtySinceS > Constants.LAZY_FLUSH_MS / 1000.0)) dirty.add(j);
+        }
+        dirty.sort(Comparator.comparing((Job j) -> !j.over()).thenComparing(j -> !j.urgent)
+                .thenComparingDouble(j -> j.dirtySinceS));
+        int used = reservations(c, room);
+        for (Job j : dirty) {
+            boolean over = j.over();
+            int cost = over ? 2 : 1;
+            if (used + cost > room) {
+                if (used > 0) break;
+                if (settings.txnOps() >= cost) return; // wait until the budget covers it
+            }
+            String key = RecordCodec.LIVE + j.spec.id();
+            String writeId = cluster.token() + "." + ++writeCounter;
+            c.guard(key, j.stamp);
+            if (over) {
+                c.delete(key);
+                c.put(RecordCodec.FINAL + j.spec.id(), RecordCodec.over(j.complete(), j.spec.tasks()));
+            } else {
+                Map<String, Object> v = RecordCodec.job(j, writeId);
+                c.put(key, v);
+                bytes += String.valueOf(v).length() + 200;
+            }
+            items.add(new Item(j, over, j.version, writeId));
+            used += cost;
+            if (bytes > Constants.TXN_BYTES) break;
+        }
+        if (used == 0) return;
+        writes.take(now, used);
+        inFlight = items;
+        change = c;
+        unknown = false;
+        send();
+    }
+
+    private int reservations(Change c, int room) {
+        int used = 0;
+        reservationsInFlight = null;
+        if (cluster.reservations.equals(reservationsWritten)) return 0;
+        Map<String, List<Reservation>> next = new HashMap<>(reservationsWritten);
+        for (Map.Entry<String, List<Reservation>> e : cluster.reservations.entrySet()) {
+            if (used >= room || e.getValue().equals(next.get(e.getKey()))) continue;
+            c.put(RecordCodec.RESERVED + e.getKey(), RecordCodec.reservations(e.getValue()));
+            next.put(e.getKey(), e.getValue());
+            used++;
+        }
+        for (String id : new ArrayList<>(next.keySet())) {
+            if (used >= room || cluster.reservations.containsKey(id)) continue;
+            c.delete(RecordCodec.RESERVED + id);
+            next.remove(id);
+            used++;
+        }
+        reservationsInFlight = next;
+        return used;
+    }
+
+    private void send() {
+        waiting = true;
+        state.commit(change, a -> {
+            waiting = false;
+            if (ended) return;
+            double now = clockS.getAsDouble();
+            switch (a.status()) {
+                case 200 -> {
+                    long epoch = Fields.num(a.body(), "epoch", 0);
+                    for (Item i : inFlight) {
+                        // The watch may have shown this write already.
+                        if (cluster.jobs.get(i.job.spec.id()) == i.job) persisted(i, epoch);
+                    }
+                    if (reservationsInFlight != null) reservationsWritten = reservationsInFlight;
+                    settled();
+                    nextFlushS = 0;
+                }
+                case 409 -> {
+                    List<Object> failed = Fields.list(a.body(), "failed");
+                    if (failed.contains(RecordCodec.LEADER)) {
+                        LOG.info("deposed: the leader key has changed");
+                        election.depose();
+                        return;
+                    }
+                    waiting = true;
+                    readBack(new ArrayDeque<>(inFlight));
+                }
+                case 400 -> {
+                    LOG.error("state service refused a change as malformed: {}", a.body());
+                    settled();
+                    retryAtS = now + 2;
+                }
+                case 429, 503 -> {
+                    if (!unknown) settled(); // certainly not executed; what it held is still dirty
+                    retryAtS = now + 0.4;
+                }
+                default -> {
+                    // It may have been executed or yet be: only the same change again gives a definite answer.
+                    if (a.sent()) unknown = true;
+                    else if (!unknown) settled();
+                    retryAtS = now + 0.3;
+                }
+            }
+        });
+    }
+
+    private void settled() {
+        inFlight = null;
+        change = null;
+        reservationsInFlight = null;
+        unknown = false;
+    }
+
+    /** A condition failed: each record tells whether our write is in it (an answer was lost) or a user's abort. */
+    private void readBack(ArrayDeque<Item> left) {
+        if (left.isEmpty()) {
+            waiting = false;
+            settled();
+            return;
+        }
+        Item i = left.peek();
+        String id = i.job.spec.id();
+        state.get(RecordCodec.LIVE + id, Constants.STATE_TIMEOUT_MS, a -> {
+            if (ended) return;
+            if (a.status() == 200) {
+                record(id, Fields.map(a.body().get("v")), Fields.num(a.body(), "stamp", 0), clockS.getAsDouble());
+                left.poll();
+                readBack(left);
+            } else if (a.status() == 404) {
+                if (!i.over) LOG.error("record of {} is gone", id);
+                if (cluster.jobs.get(id) == i.job) {
+                    if (i.over) persisted(i, Fields.num(a.body(), "epoch", i.job.stamp));
+                    else cluster.finished(i.job, Fields.num(a.body(), "epoch", i.job.stamp));
+                }
+                left.poll();
+                readBack(left);
+            } else later(() -> readBack(left), 300);
+        });
+    }
+
+    // ---- cloud ------------------------------------------------------------------------------------------------
+
+    private void catalogue(double now) {
+        nextCatalogueS = now + Constants.CATALOGUE_MS / 1000.0;
+        cloud.call(Methods.GET, "/flavors", null, Constants.CLOUD_TIMEOUT_MS, a -> {
+            if (ended) return;
+            if (a.status() != 200) {
+                nextCatalogueS = clockS.getAsDouble() + 3;
+                return;
+            }
+            boolean first = cluster.types().isEmpty();
+            List<MachineType> types = CloudCodec.catalogue(a.body());
+            cluster.catalogue(types);
+            if (first || !catalogueKept) {
+                state.commit(new Change().guard(RecordCodec.LEADER, cluster.token())
+                        .put(RecordCodec.CATALOGUE, CloudCodec.catalogue(types)), b -> catalogueKept = b.status() == 200);
+            }
+        });
+    }
+
+    private boolean catalogueKept;
+
+    private void list(double now, String after, List<org.mountlug.core.scale.Listed> sofar) {
+        listing = true;
+        nextListS = now + Constants.LIST_MS / 1000.0;
+        cloud.call(Methods.GET, "/hosts?" + (after == null ? "" : "after=" + after + "&") + "page=500", null,
+                Constants.CLOUD_TIMEOUT_MS, a -> {
+                    listing = false;
+                    if (ended || a.status() != 200) return;
+                    sofar.addAll(CloudCodec.listed(a.body()));
+                    if (CloudCodec.more(a.body()) && !sofar.isEmpty()) {
+                        list(now, sofar.get(sofar.size() - 1).name(), sofar);
+                        return;
+                    }
+                    List<String> failed = cluster.listed(sofar, clockS.getAsDouble());
+                    if (!failed.isEmpty()) {
+                        cloud.call(Methods.POST, "/hosts/release", CloudCodec.release(failed),
+                                Constants.CLOUD_TIMEOUT_MS, b -> {});
+                    }
+                });
+    }
+
+    private void rent() {
+        Rental r = rentals.peek();
+        if (r == null || renting || ended) return;
+        renting = true;
+        cloud.call(Methods.POST, "/hosts", CloudCodec.rent(r), Constants.CLOUD_TIMEOUT_MS, a -> {
+            renting = false;
+            if (ended) return;
+            double now = clockS.getAsDouble();
+            if (a.status() == 200) {
+                List<String> names = CloudCodec.rented(a.body());
+                for (String n : names) cluster.rented(n, r.type(), r.zone(), r.spot(), now);
+                LOG.info("rented {} of {} {} in {}{}: {}", names.size(), r.count(), r.type(), r.zone(),
+                        r.spot() ? " spot" : "", names);
+                if (names.size() < r.count()) scaler.refused(r, now);
+            } else if (a.none() && rentTries++ < 3) {
+                later(this::rent, 500); // the same name gives the same machines
+                return;
+            } else if (a.status() == 503 || a.status() == 429) {
+                LOG.info("no {} in {}{}: {}", r.type(), r.zone(), r.spot() ? " spot" : "", a.body().get("error"));
+                if (!"trouble".equals(a.body().get("error")) && a.status() == 503) scaler.refused(r, now);
+            }
+            rentTries = 0;
+            rentals.poll();
+            later(this::rent, 150);
+        });
+    }
+
+    private void release(List<String> names) {
+        if (names.isEmpty()) return;
+        returning = true;
+        List<String> l = new ArrayList<>(names);
+        cloud.call(Methods.POST, "/hosts/release", CloudCodec.release(l), Constants.CLOUD_TIMEOUT_MS, a -> {
+            returning = false;
+            if (ended || a.status() != 200) return;
+            for (String n : l) cluster.machineGone(n, clockS.getAsDouble(), "returned");
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/settings/Settings.java
@@ -0,0 +1,140 @@
+package org.mountlug.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import org.mountlug.core.model.Team;
+import org.mountlug.wire.Cbor;
+import org.mountlug.wire.Fields;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The platform's settings, checked field by field; fields it does not know are ignored. */
+public record Settings(String label, String zone, String listen, String clusterListen, List<Peer> others,
+                       String cloud, String state, double skewMs, List<Team> teams, List<Objective> objectives,
+                       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS,
+                       double stateRps, double stateWriteRps, double valueKb, int txnOps, double cloudRps,
+                       double listLagS, int fdLimit) {
+
+    public record Peer(String label, String endpoint) {}
+
+    /** An aim as the platform restates it: {@code kind} wait, finished or deadline. */
+    public record Objective(String kind, String lane, double withinS, double share) {}
+
+    /** A setting that is missing or wrong, named by its path. */
+    public static final class Invalid extends Exception {
+        public Invalid(String field, String problem) {
+            super(field + ": " + problem);
+        }
+    }
+
+    public static Settings load(Path file, Operators operators) throws Invalid {
+        Map<String, Object> m;
+        try (JsonParser p = new TomlFactory().createParser(Files.readString(file))) {
+            p.nextToken();
+            m = Fields.map(Cbor.value(p, 0));
+        } catch (IOException e) {
+            throw new Invalid(file.toString(), "cannot be read as TOML (" + firstLine(e) + ")");
+        }
+        return of(m, operators);
+    }
+
+    public static Settings of(Map<String, Object> m, Operators operators) throws Invalid {
+        Reader root = new Reader("", m);
+        List<Peer> others = new ArrayList<>();
+        int i = 0;
+        for (Object o : root.list("others", false)) {
+            Reader r = new Reader("others[" + i++ + "].", Fields.map(o));
+            others.add(new Peer(r.text("label"), r.address("endpoint")));
+        }
+        Reader ends = root.table("endpoints");
+        Reader cluster = root.table("cluster");
+        List<Team> teams = new ArrayList<>();
+        i = 0;
+        for (Object o : cluster.list("teams", true)) {
+            Reader r = new Reader("cluster.teams[" + i++ + "].", Fields.map(o));
+            String name = r.text("name");
+            teams.add(new Team(name, r.number("cpus", 0, 0), r.number("cpus_max", 0, 0), r.number("gpus", 0, 0),
+                    r.number("gpus_max", 0, 0), operators.share(name)));
+        }
+        for (String name : operators.shares().keySet()) {
+            if (teams.stream().noneMatch(t -> t.name().equals(name))) {
+                throw new Invalid("shares." + name, "no such team in the platform's settings");
+            }
+        }
+        List<Objective> objectives = new ArrayList<>();
+        for (Object o : cluster.list("objectives", false)) {
+            Map<String, Object> x = Fields.map(o);
+            objectives.add(new Objective(Fields.str(x, "kind", ""), Fields.str(x, "class", ""),
+                    Fields.dec(x, "within_s", Double.NaN), Fields.dec(x, "share", Double.NaN)));
+        }
+        Reader w = cluster.table("workers");
+        Reader s = cluster.table("state");
+        Reader c = cluster.table("cloud");
+        Reader limits = new Reader("cluster.machine_limits.", Fields.map(cluster.m.get("machine_limits")));
+        return new Settings(root.text("label"), root.text("zone"), root.address("listen"),
+                root.address("cluster_listen"), others, ends.address("cloud"), ends.address("state"),
+                cluster.number("skew_ms", 0, 0), teams, objectives,
+                w.positive("report_s"), w.positive("lease_s"), w.positive("gang_wait_s"), w.positive("gang_peer_s"),
+                w.positive("cancel_s"), s.positive("rps"), s.positive("write_rps"), s.positive("value_kb"),
+                (int) s.number("txn_ops", 1, Double.NaN), c.positive("rps"), c.number("list_lag_s", 0, Double.NaN),
+                (int) limits.number("fd_limit", 16, 1024));
+    }
+
+    private static String firstLine(Exception e) {
+        String s = String.valueOf(e.getMessage());
+        int n = s.indexOf('\n');
+        return n < 0 ? s : s.substring(0, n);
+    }
+
+    private record Reader(String path, Map<String, Object> m) {
+        Reader table(String k) throws Invalid {
+            if (!(m.get(k) instanceof Map)) throw new Invalid(path + k, "missing table");
+            return new Reader(path + k + ".", Fields.map(m.get(k)));
+        }
+
+        List<Object> list(String k, boolean required) throws Invalid {
+            Object o = m.get(k);
+            if (o == null && !required) return List.of();
+            if (!(o instanceof List)) throw new Invalid(path + k, o == null ? "missing" : "not a list");
+            return Fields.list(m, k);
+        }
+
+        String text(String k) throws Invalid {
+            if (!(m.get(k) instanceof String s) || s.isBlank()) throw new Invalid(path + k, "missing or not a text");
+            return s;
+        }
+
+        String address(String k) throws Invalid {
+            String s = text(k);
+            int colon = s.lastIndexOf(':');
+            try {
+                int port = Integer.parseInt(s.substring(colon + 1));
+                if (colon > 0 && port > 0 && port < 65536) return s;
+            } catch (NumberFormatException e) {
+                // reported below
+            }
+            throw new Invalid(path + k, "not an address of the form 10.0.0.1:8080");
+        }
+
+        double positive(String k) throws Invalid {
+            double d = number(k, 0, Double.NaN);
+            if (d <= 0) throw new Invalid(path + k, "must be above 0");
+            return d;
+        }
+
+        /** A number of at least {@code least}; {@code def} NaN makes it required. */
+        double number(String k, double least, double def) throws Invalid {
+            Object o = m.get(k);
+            if (o == null && !Double.isNaN(def)) return def;
+            if (!(o instanceof Number n)) throw new Invalid(path + k, o == null ? "missing" : "not a number");
+            double d = n.doubleValue();
+            if (!Double.isFinite(d) || d < least) throw new Invalid(path + k, "must be at least " + least);
+            return d;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/store/Budget.java
@@ -0,0 +1,28 @@
+package org.mountlug.store;
+
+/** A bucket that fills at a rate; time comes in as an argument, so that tests need no clock. */
+public final class Budget {
+    private final double perS;
+    private final double most;
+    private double level;
+    private double atS = Double.NaN;
+
+    public Budget(double perS, double most) {
+        this.perS = perS;
+        this.most = Math.max(1, most);
+        this.level = this.most;
+    }
+
+    /** What may be taken now. */
+    public synchronized double level(double nowS) {
+        if (!Double.isNaN(atS)) level = Math.min(most, level + Math.max(0, nowS - atS) * perS);
+        atS = nowS;
+        return level;
+    }
+
+    public synchronized boolean take(double nowS, double n) {
+        if (level(nowS) + 1e-9 < n) return false;
+        level -= n;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/store/Change.java
@@ -0,0 +1,53 @@
+package org.mountlug.store;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A transaction for the state service under construction. */
+public final class Change {
+    private final List<Object> guards = new ArrayList<>();
+    private final List<Object> writes = new ArrayList<>();
+
+    public Change guard(String key, long stamp) {
+        Map<String, Object> g = new LinkedHashMap<>();
+        g.put("k", key);
+        g.put("stamp", stamp);
+        guards.add(g);
+        return this;
+    }
+
+    public Change put(String key, Map<String, Object> value) {
+        Map<String, Object> w = new LinkedHashMap<>();
+        w.put("put", key);
+        w.put("v", value);
+        writes.add(w);
+        return this;
+    }
+
+    public Change put(String key, Map<String, Object> value, long hold) {
+        Map<String, Object> w = new LinkedHashMap<>();
+        w.put("put", key);
+        w.put("v", value);
+        w.put("hold", hold);
+        writes.add(w);
+        return this;
+    }
+
+    public Change delete(String key) {
+        writes.add(Map.of("delete", key));
+        return this;
+    }
+
+    public int size() {
+        return writes.size();
+    }
+
+    public Map<String, Object> body() {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("guards", guards);
+        m.put("writes", writes);
+        return m;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/store/StateClient.java
@@ -0,0 +1,88 @@
+package org.mountlug.store;
+
+import io.undertow.util.Methods;
+import org.mountlug.Constants;
+import org.mountlug.wire.Http;
+
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * The state service's calls. It knows when this node was last served, and keeps to this node's part of the budgets:
+ * reads for users wait behind submissions, and watches have connections of their own.
+ */
+public final class StateClient {
+    private final Http calls;
+    private final Http watches;
+    private final java.util.function.DoubleSupplier clockS;
+    private final Budget reads;
+    private final Budget submits;
+    /** Steady seconds of the last answer that shows we are served, and of the last refusal. */
+    private volatile double servedS = Double.NEGATIVE_INFINITY;
+    private volatile double refusedS = Double.NEGATIVE_INFINITY;
+
+    public StateClient(Http calls, Http watches, java.util.function.DoubleSupplier clockS, double rps) {
+        this.calls = calls;
+        this.watches = watches;
+        this.clockS = clockS;
+        this.reads = new Budget(rps * Constants.NODE_READ_SHARE, rps * Constants.NODE_READ_SHARE);
+        this.submits = new Budget(rps * Constants.NODE_SUBMIT_SHARE, rps * Constants.NODE_SUBMIT_SHARE);
+    }
+
+    public boolean mayRead() {
+        return reads.take(clockS.getAsDouble(), 1);
+    }
+
+    public boolean maySubmit() {
+        return submits.take(clockS.getAsDouble(), 1);
+    }
+
+    public double servedS() {
+        return servedS;
+    }
+
+    /** Whether the last thing heard from the state service was an answer. */
+    public boolean served() {
+        return servedS >= refusedS;
+    }
+
+    private Consumer<Http.Answer> noting(Consumer<Http.Answer> then) {
+        double asked = clockS.getAsDouble();
+        return a -> {
+            if (a.status() == 503 || a.none()) refusedS = Math.max(refusedS, asked);
+            else if (a.status() != 429) servedS = Math.max(servedS, asked);
+            then.accept(a);
+        };
+    }
+
+    public void get(String key, int timeoutMs, Consumer<Http.Answer> then) {
+        calls.call(Methods.GET, "/kv/" + key, null, timeoutMs, noting(then));
+    }
+
+    public void list(String prefix, String after, Consumer<Http.Answer> then) {
+        calls.call(Methods.GET, "/kv?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&page=1000", null,
+                4 * Constants.STATE_TIMEOUT_MS, noting(then));
+    }
+
+    public void commit(Change c, Consumer<Http.Answer> then) {
+        calls.call(Methods.POST, "/multi", c.body(), Constants.STATE_TIMEOUT_MS, noting(then));
+    }
+
+    public void hold(int lifeMs, Consumer<Http.Answer> then) {
+        calls.call(Methods.POST, "/holds", Map.of("lifeMs", (long) lifeMs), Constants.STATE_TIMEOUT_MS, noting(then));
+    }
+
+    public void renew(long hold, Consumer<Http.Answer> then) {
+        calls.call(Methods.POST, "/holds/" + hold + "/touch", Map.of(), Constants.STATE_TIMEOUT_MS, noting(then));
+    }
+
+    public void drop(long hold, Consumer<Http.Answer> then) {
+        calls.call(Methods.DELETE, "/holds/" + hold, null, Constants.STATE_TIMEOUT_MS, noting(then));
+    }
+
+    /** Opens a watch; an answer proves nothing of being served, as open watches survive outages. */
+    public void watch(String prefix, long after, int blockMs, Consumer<Http.Answer> then) {
+        watches.call(Methods.GET, "/watch?prefix=" + prefix + "&after=" + after + "&blockMs=" + blockMs, null,
+                blockMs + 3000, then);
+    }
+}
