--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -17,6 +17,9 @@
     /** Characters of a name in a submission; keeps a record far below the state service's value limit. */
     public static final int NAME_MAX = 120;
 
+    /** Seconds; run time assumed of a job that runs until its user aborts it and states none. */
+    public static final double SERVICE_EXPECTED_S = 3600;
+
     // ---- state service ----------------------------------------------------------------------------------------
     /** Milliseconds; answers take 10 ms, now and then a few hundred, so a second without one is a lost call. */
     public static final int STATE_TIMEOUT_MS = 1500;
--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -244,6 +244,7 @@
         try {
             spec = JobParser.parse(m, System.currentTimeMillis());
         } catch (JobParser.Malformed e) {
+            LOG.debug("malformed {}: {}", id, e.getMessage());
             // An accepted job stays accepted, whatever a repeated body looks like.
             known(x, id, () -> answer(x, 400, Map.of("error", e.getMessage())));
             return;
--- a/src/main/java/org/mountlug/api/JobParser.java
+++ b/src/main/java/org/mountlug/api/JobParser.java
@@ -35,7 +35,9 @@
         String id = text(m, "nameId");
         if (!validId(id)) throw new Malformed("nameId");
         String shape = text(m, "shape");
-        if (!shape.equals("array") && !shape.equals("group")) throw new Malformed("shape");
+        // "daemon" is not on the protocol's page, but its users' tools submit it: tasks that run until their user aborts.
+        boolean service = shape.equals("daemon");
+        if (!shape.equals("array") && !shape.equals("group") && !service) throw new Malformed("shape");
         Urgency urgency = switch (text(m, "urgency")) {
             case "prod" -> Urgency.PROD;
             case "high" -> Urgency.HIGH;
@@ -58,6 +60,7 @@
         }
         double cpus = amount(m, "vcpus");
         double expected = amount(m, "expectedS");
+        if (service && expected == 0) expected = Constants.SERVICE_EXPECTED_S;
         return new JobSpec(id, text(m, "lane"), text(m, "crew"), shape.equals("group"), urgency, (int) pieces,
                 new Resources(cpus, amount(m, "cards"), amount(m, "ramGb")), builds,
                 m.get("site") == null ? null : text(m, "site"), flag(m, "oneZone"), flag(m, "apart"),
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -179,6 +179,7 @@
                 viewS = Math.max(viewS, asked);
                 watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
                 for (Object o : Fields.list(a.body(), "news")) {
+                    if (ended) return;
                     Map<String, Object> e = Fields.map(o);
                     String put = Fields.str(e, "put");
                     if (put != null) {
@@ -229,7 +230,10 @@
         String w = Fields.str(v, "w", "");
         if (inFlight != null) for (Item i : inFlight) if (i.job == j && i.writeId.equals(w)) persisted(i, stamp);
         if (!w.equals(j.writeId)) {
-            LOG.error("record of {} was written by somebody else", id);
+            // Only a newer leader writes records, so this term is over; it went on watching while it was not served.
+            LOG.info("deposed: record of {} was written by another leader", id);
+            election.depose();
+            ended = true;
             return;
         }
         j.stamp = stamp;
