--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -73,8 +73,8 @@
     public static final double REFUSED_RETRY_S = 2.0;
     /** Failures in a row on one machine, of at least two different jobs, before it is quarantined. */
     public static final int SICK_FAILURES = 2;
-    /** Placed tasks of one job; more would not fit its record. */
-    public static final int ACTIVE_MAX = 400;
+    /** Placed tasks of one job; more, in the worst pattern of gaps, would not fit its record into 8 KiB. */
+    public static final int ACTIVE_MAX = 200;
     /** Seconds of warning that the pre-emption of a saving task gets beyond its own saving time. */
     public static final double SAVE_GRACE_S = 1.0;
     /** Seconds after a stop order in which nothing else is stopped for the same job. */
--- /dev/null
+++ b/src/test/java/org/mountlug/Samples.java
@@ -0,0 +1,87 @@
+package org.mountlug;
+
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Cause;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.JobSpec;
+import org.mountlug.core.model.MachineType;
+import org.mountlug.core.model.Order;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.TaskState;
+import org.mountlug.core.model.Team;
+import org.mountlug.core.model.Urgency;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Small worlds for the tests. */
+public final class Samples {
+    public static final long TOKEN = 7;
+    public static final MachineType SMALL = new MachineType("small", new Resources(4, 0, 32), 50, 1, 0.2, 0.08, 30,
+            List.of("a", "b"));
+    public static final MachineType GPU = new MachineType("gpu", new Resources(24, 2, 96), 50, 1, 4, 2, 60,
+            List.of("a", "b"));
+
+    private Samples() {}
+
+    public static Cluster cluster(Team... teams) {
+        Cluster c = new Cluster(TOKEN, 10,
+                teams.length == 0 ? List.of(new Team("t", 0, 0, 0, 0, 1)) : Arrays.asList(teams));
+        c.catalogue(List.of(SMALL, GPU));
+        return c;
+    }
+
+    public static JobSpec spec(String id, boolean gang, int tasks, Resources need, Urgency u) {
+        return new JobSpec(id, "lane", "t", gang, u, tasks, need, null, null, false, false, true, "img", 1, 30, 15, 3,
+                Double.NaN, 0);
+    }
+
+    public static JobSpec array(String id, int tasks) {
+        return spec(id, false, tasks, new Resources(2, 0, 8), Urgency.STANDARD);
+    }
+
+    public static JobSpec zones(JobSpec s, boolean oneZone, boolean apart) {
+        return new JobSpec(s.id(), s.lane(), s.team(), s.gang(), s.urgency(), s.tasks(), s.need(), s.types(), s.zone(),
+                oneZone, apart, s.spot(), s.image(), s.imageGb(), s.expectedS(), s.checkpointS(), s.saveS(),
+                s.deadlineS(), s.submittedMs());
+    }
+
+    public static Job live(Cluster c, JobSpec s) {
+        Job j = new Job(s);
+        j.stamp = 1;
+        c.load(j, 0);
+        return j;
+    }
+
+    public static Report report(String machine, String type, String zone, long session, long seq, long token,
+                                Report.Item... items) {
+        return new Report(machine, "10.0.0.9:1", type, zone, false, session, seq, token, Double.NaN,
+                List.of(items));
+    }
+
+    public static Report.Item item(String job, int task, long attempt, TaskState s, Cause c) {
+        return new Report.Item(job, task, attempt, s, c, false);
+    }
+
+    /** A machine that is up and has seen our token. */
+    public static Machine up(Cluster c, String name, String type, String zone) {
+        c.report(report(name, type, zone, 1, 1, TOKEN), true, 0);
+        Machine m = c.machines.get(name);
+        m.answeredS = 0;
+        return m;
+    }
+
+    /** Marks everything decided as durable. */
+    public static void persist(Job... jobs) {
+        for (Job j : jobs) j.persisted = j.version;
+    }
+
+    public static List<String> verbs(List<Order> orders) {
+        List<String> l = new ArrayList<>();
+        for (Order o : orders) l.add(o.verb() + " " + o.task() + "#" + o.attempt());
+        return l;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -0,0 +1,136 @@
+package org.mountlug.core;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.Samples;
+import org.mountlug.core.allocate.Allocator;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+import org.mountlug.core.model.Urgency;
+
+import java.util.List;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The design's round: ready, pipelined or discarded; reservations that last; limits and zones. */
+class AllocatorTest {
+    private static final Resources WHOLE_GPU = new Resources(20, 2, 60);
+
+    private static int round(Cluster c, double now) {
+        return new Allocator(c, j -> j.spec.submittedMs(), now).round();
+    }
+
+    @Test
+    void aReadyGangStartsWhole() {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "gpu", "a");
+        Samples.up(c, "n-2", "gpu", "a");
+        Job g = Samples.live(c, Samples.spec("wk-000001", true, 2, WHOLE_GPU, Urgency.HIGH));
+        assertEquals(2, round(c, 1));
+        assertEquals(1, g.placed.values().stream().map(p -> p.attempt).distinct().count());
+    }
+
+    @Test
+    void aGangThatFitsNeitherNowNorSoonLeavesNoTrace() {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "gpu", "a");
+        Samples.live(c, Samples.spec("wk-000001", true, 2, WHOLE_GPU, Urgency.HIGH));
+        Job small = Samples.live(c, Samples.spec("wk-000002", false, 1, WHOLE_GPU, Urgency.IDLE));
+        assertEquals(1, round(c, 1));
+        assertEquals(1, small.placed.size());
+        assertTrue(c.reservations.isEmpty());
+    }
+
+    @Test
+    void aPipelinedGangKeepsIdleRoomAndGoesFirstWhenTheRestComesFree() {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "gpu", "a");
+        Samples.up(c, "n-2", "gpu", "a");
+        Job old = Samples.live(c, Samples.spec("wk-000001", false, 1, WHOLE_GPU, Urgency.IDLE));
+        assertEquals(1, round(c, 1));
+        Placement p = old.placed.get(0);
+        p.stop(4);
+        Job g = Samples.live(c, Samples.spec("wk-000002", true, 2, WHOLE_GPU, Urgency.STANDARD));
+        Job rival = Samples.live(c, Samples.spec("wk-000003", false, 1, WHOLE_GPU, Urgency.PROD));
+        // The rival comes later: what the gang has reserved is not taken, not even by a higher priority.
+        c.jobs.remove("wk-000003");
+        assertEquals(0, round(c, 2));
+        assertEquals(2, c.reservations.get("wk-000002").size());
+        c.jobs.put("wk-000003", rival);
+        assertEquals(0, round(c, 3));
+        assertEquals(2, c.reservations.get("wk-000002").size());
+        c.machines.get(p.machine).placed.remove(p.name());
+        old.placed.clear();
+        c.jobs.remove("wk-000001");
+        assertEquals(2, round(c, 4));
+        assertEquals(2, g.placed.size());
+        assertTrue(c.reservations.isEmpty());
+    }
+
+    @Test
+    void aReservationOnALostMachineIsDroppedAndScannedAgain() {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-2", "gpu", "a");
+        Job g = Samples.live(c, Samples.spec("wk-000001", true, 1, WHOLE_GPU, Urgency.HIGH));
+        c.reservations.put("wk-000001", List.of(new Reservation(0, "n-9")));
+        assertEquals(1, round(c, 1));
+        assertEquals("n-2", g.placed.get(0).machine);
+    }
+
+    @ParameterizedTest(name = "{0}: oneZone {1}, apart {2} -> {3} of 5 placed")
+    @CsvSource({"none, false, false, 5", "one zone, true, false, 4", "apart, false, true, 4"})
+    void zonesOfAnArray(String name, boolean one, boolean apart, int placed) {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "small", "a");
+        Samples.up(c, "n-2", "small", "a");
+        Samples.up(c, "n-3", "small", "b");
+        Job j = Samples.live(c, Samples.zones(Samples.array("wk-000001", 5), one, apart));
+        // "apart" allows three of five in one zone; zone b has room for two, of which one machine gives two.
+        int n = round(c, 1);
+        assertEquals(apart ? 5 : placed, n);
+        if (apart) assertTrue(j.placedIn("a") <= 3);
+        if (one) assertEquals(1, j.placed.values().stream().map(p -> p.zone).distinct().count());
+    }
+
+    @Test
+    void aTeamsLimitCountsEverythingNotProvenGone() {
+        Cluster c = Samples.cluster(new Team("t", 0, 4, 0, 0, 1));
+        for (int i = 1; i <= 3; i++) Samples.up(c, "n-" + i, "small", "a");
+        Job j = Samples.live(c, Samples.array("wk-000001", 6));
+        assertEquals(2, round(c, 1));
+        c.machines.get(j.placed.get(0).machine).synced = false; // silent, perhaps still running
+        assertEquals(0, round(c, 2));
+    }
+
+    @Test
+    void oldAttemptsKeepTheirZoneAndAreNotStartedAgain() {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "small", "a");
+        Job j = Samples.live(c, Samples.zones(Samples.array("wk-000001", 3), true, false));
+        assertEquals(2, round(c, 1));
+        c.machines.get("n-1").synced = false;
+        Samples.up(c, "n-2", "small", "b");
+        assertEquals(0, round(c, 2));
+        assertEquals(2, j.placed.size());
+    }
+
+    @Test
+    void teamsAreServedInTurn() {
+        Cluster c = Samples.cluster(new Team("t", 0, 0, 0, 0, 1), new Team("u", 0, 0, 0, 0, 1));
+        Samples.up(c, "n-1", "small", "a");
+        Samples.live(c, Samples.array("wk-000001", 1));
+        Samples.live(c, Samples.array("wk-000002", 1));
+        var s = Samples.array("wk-000003", 1);
+        Job u = Samples.live(c, new org.mountlug.core.model.JobSpec("wk-000003", s.lane(), "u", false, s.urgency(), 1,
+                s.need(), null, null, false, false, true, "img", 1, 30, 15, 3, Double.NaN, 99));
+        assertEquals(2, round(c, 1));
+        assertFalse(u.placed.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -0,0 +1,179 @@
+package org.mountlug.core;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.Samples;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Cause;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Order;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.TaskState;
+import org.mountlug.core.scale.Listed;
+
+import java.util.List;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.mountlug.Samples.TOKEN;
+import static org.mountlug.Samples.item;
+import static org.mountlug.Samples.report;
+
+/** A task leaves its place only with a proof: each case guards against a task running twice or after its abort. */
+class ProofTest {
+    private final Cluster c = Samples.cluster();
+    private final Machine m = Samples.up(c, "n-1", "small", "a");
+    private final Job j = Samples.live(c, Samples.array("wk-000001", 2));
+
+    private void place() {
+        c.place(j, 0, ++j.attempts, m, 0);
+        j.touch(0, true);
+    }
+
+    private List<String> beat(long session, long seq, Report.Item... items) {
+        return Samples.verbs(c.report(report("n-1", "small", "a", session, seq, TOKEN, items), true, seq));
+    }
+
+    @Test
+    void startLeavesOnlyOnceDurable() {
+        place();
+        assertEquals(List.of(), beat(1, 2));
+        Samples.persist(j);
+        assertEquals(List.of("START wk-000001/0#1"), beat(1, 3));
+    }
+
+    @Test
+    void startThatANewerReportLacksGoesOutAgainAndKeepsItsPlace() {
+        place();
+        Samples.persist(j);
+        beat(1, 2);
+        assertEquals(List.of("START wk-000001/0#1"), beat(1, 3));
+        assertEquals(1, j.placed.size());
+    }
+
+    @Test
+    void aReportHeldBackOnItsWayProvesNothing() {
+        place();
+        Samples.persist(j);
+        beat(1, 5);
+        beat(1, 6, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
+        assertEquals(List.of(), beat(1, 4));
+        assertEquals(1, j.placed.size());
+    }
+
+    @Test
+    void aReportUnderAnOlderTokenProvesNothing() {
+        place();
+        Samples.persist(j);
+        List<Order> o = c.report(report("n-1", "small", "a", 2, 9, TOKEN - 1), true, 3);
+        assertEquals(List.of(), o);
+        assertEquals(1, j.placed.size());
+        assertFalse(m.synced);
+    }
+
+    @Test
+    void aReportUnderAHigherTokenDeposes() {
+        assertNull(c.report(report("n-1", "small", "a", 1, 9, TOKEN + 1), true, 3));
+    }
+
+    @Test
+    void aLaterSessionIsAProof() {
+        place();
+        Samples.persist(j);
+        beat(1, 2);
+        beat(2, 3);
+        assertTrue(j.placed.isEmpty());
+    }
+
+    @ParameterizedTest(name = "answered {0} s ago, synced {1}: gone {2}")
+    @CsvSource({"9, true, false", "10.2, true, false", "11, true, true", "11, false, false", "60, false, false"})
+    void leaseIsAProofOnlyUnderOurTokenAndWithDrift(double ago, boolean synced, boolean gone) {
+        place();
+        m.answeredS = 100;
+        m.synced = synced;
+        c.expireLeases(100 + ago);
+        assertEquals(gone, j.placed.isEmpty());
+    }
+
+    @Test
+    void theListProvesOnlyFailures() {
+        place();
+        c.listed(List.of(), 50);
+        assertEquals(1, j.placed.size());
+        c.listed(List.of(new Listed("n-1", "x", "small", "a", false, Listed.Status.FAILED, 9)), 51);
+        assertTrue(j.placed.isEmpty());
+    }
+
+    @Test
+    void forgetWaitsUntilTheOutcomeIsDurable() {
+        place();
+        Samples.persist(j);
+        beat(1, 2);
+        Report.Item done = item("wk-000001", 0, 1, TaskState.EXITED, Cause.DONE);
+        assertEquals(List.of(), beat(1, 3, done));
+        assertTrue(j.done.get(0));
+        assertEquals(List.of(), beat(1, 4, done));
+        Samples.persist(j);
+        assertEquals(List.of("FORGET wk-000001/0#1"), beat(1, 5, done));
+    }
+
+    @Test
+    void abortStopsWhatWasSentAndDropsWhatWasNot() {
+        place();
+        Samples.persist(j);
+        beat(1, 2);
+        c.place(j, 1, ++j.attempts, m, 2);
+        j.touch(2, true);
+        c.cancelled(j, 3);
+        assertEquals(1, j.placed.size());
+        assertEquals(List.of("STOP wk-000001/0#1"),
+                beat(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertFalse(j.over());
+        beat(1, 4, item("wk-000001", 0, 1, TaskState.EXITED, Cause.STOPPED));
+        assertTrue(j.over());
+    }
+
+    @Test
+    void whatNoRecordPlacesHereIsStoppedAndBlocksTheMachine() {
+        assertEquals(List.of("STOP wk-000009/3#4"), beat(1, 2, item("wk-000009", 3, 4, TaskState.RUNNING, Cause.NONE)));
+        assertFalse(m.empty());
+    }
+
+    @Test
+    void aReturnedMachineDoesNotComeBackByALateReportOrTheLaggingList() {
+        c.machineGone("n-1", 5, "returned");
+        beat(1, 9);
+        c.listed(List.of(new Listed("n-1", "x", "small", "a", false, Listed.Status.RUNNING, 9)), 6);
+        assertTrue(c.machines.isEmpty());
+    }
+
+    @Test
+    void aFinishedJobIsNotBroughtBackByALateWatch() {
+        c.finished(j, 50);
+        Job late = new Job(j.spec);
+        late.stamp = 49;
+        c.load(late, 6);
+        assertTrue(c.jobs.isEmpty());
+    }
+
+    @Test
+    void aJobThatFailsEverywhereCondemnsNoMachineButASickMachineIsFound() {
+        Job other = Samples.live(c, Samples.array("wk-000002", 4));
+        for (int n = 0; n < 3; n++) fail(j, 0, 10 + 2 * n);
+        assertFalse(m.sick);
+        fail(other, 0, 30);
+        assertTrue(m.sick);
+    }
+
+    private void fail(Job job, int task, long seq) {
+        c.place(job, task, ++job.attempts, m, seq);
+        job.touch(seq, true);
+        Samples.persist(job);
+        beat(1, seq);
+        beat(1, seq + 1, item(job.spec.id(), task, job.attempts, TaskState.EXITED, Cause.ERROR));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mountlug/settings/SettingsTest.java
@@ -0,0 +1,58 @@
+package org.mountlug.settings;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Settings name the field that is wrong. */
+class SettingsTest {
+    static Map<String, Object> good() {
+        Map<String, Object> m = new HashMap<>(Map.of("label", "a", "zone", "z", "listen", "10.0.0.1:80",
+                "cluster_listen", "10.0.0.1:81", "surprise", 1L));
+        m.put("endpoints", new HashMap<>(Map.of("cloud", "10.0.0.2:1", "state", "10.0.0.2:2")));
+        Map<String, Object> c = new HashMap<>();
+        c.put("teams", List.of(Map.of("name", "t")));
+        c.put("workers", new HashMap<>(Map.of("report_s", 2.0, "lease_s", 10.0, "gang_wait_s", 5.0, "gang_peer_s", 6.0,
+                "cancel_s", 30.0)));
+        c.put("state", new HashMap<>(Map.of("rps", 200.0, "write_rps", 25.0, "value_kb", 8.0, "txn_ops", 8L)));
+        c.put("cloud", new HashMap<>(Map.of("rps", 4.0, "list_lag_s", 10.0)));
+        m.put("cluster", c);
+        return m;
+    }
+
+    @Test
+    void unknownFieldsAreIgnored() throws Settings.Invalid {
+        assertEquals(8, Settings.of(good(), Operators.defaults()).txnOps());
+    }
+
+    @SuppressWarnings("unchecked")
+    @ParameterizedTest(name = "{0} = {1}")
+    @CsvSource({"label, ", "listen, nowhere", "listen, 10.0.0.1:99999", "endpoints.state, ", "cluster.workers.lease_s, ",
+            "cluster.workers.lease_s, 0", "cluster.state.txn_ops, 0", "cluster.cloud.rps, fast"})
+    void theBadFieldIsNamed(String path, String value) {
+        Map<String, Object> m = good();
+        String[] p = path.split("\\.");
+        Map<String, Object> at = m;
+        for (int i = 0; i < p.length - 1; i++) at = (Map<String, Object>) at.get(p[i]);
+        Object v = value;
+        if (value != null && value.matches("\\d+")) v = Long.parseLong(value);
+        at.put(p[p.length - 1], v);
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.of(m, Operators.defaults()));
+        assertTrue(e.getMessage().startsWith(path + ":"), e.getMessage());
+    }
+
+    @ParameterizedTest(name = "{0}.{1}")
+    @CsvSource({"shares, t, -1", "log, format, xml", "machines, spot_risk, 0", "machins, a, 1"})
+    void operatorsMistakesAreErrors(String table, String field, String value) {
+        Object v = value.matches("-?\\d+") ? (Object) Long.parseLong(value) : value;
+        assertThrows(Settings.Invalid.class, () -> Operators.of(Map.of(table, Map.of(field, v))));
+    }
+}
