Fix went_back: a cancelled job never ends as done

Cause: the finished record took its outcome from progress alone, so an abort that raced the last task's end was told cancelled and later done. Ruled out: final-state caches, the order of the compare-and-sets.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -80,6 +80,15 @@
     /** Seconds after a stop order in which nothing else is stopped for the same job. */
     public static final double PREEMPT_PAUSE_S = 3.0;
 
+    /** Tasks of one waiting accelerator job for which machines are kept from spilled work. */
+    public static final int SPILL_BAR_TASKS = 8;
+    /** Share of the accelerator machines that may be kept from spilled work at the same time. */
+    public static final double SPILL_BAR_SHARE = 0.5;
+    /** Seconds for which a machine stays barred: about what short tasks need to run out. */
+    public static final double SPILL_BAR_S = 30;
+    /** Share of its slack that work may wait for cheap machines before it spills to dear ones. */
+    public static final double SPILL_SHARE = 0.75;
+
     // ---- machines ---------------------------------------------------------------------------------------------
     /** Milliseconds between two readings of the machine list; it lags by seconds anyway. */
     public static final int LIST_MS = 8000;
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -74,14 +74,54 @@
         }
         serve(pipelined);
         serve(pending);
+        spill(pending);
         return placedCount;
     }
 
+    /**
+     * Work that the cheap machines cannot serve in time gets what accelerator work leaves on dear ones. Where
+     * accelerator work waits, some machines are barred from it, so that they empty as short tasks end: without that,
+     * whole-machine gangs would starve behind a stream of small tasks.
+     */
+    private void spill(List<Job> pending) {
+        double waiting = 0;
+        for (Job j : pending) {
+            if (j.spec.need().gpus() == 0 || j.open() <= 0 || cluster.reservations.containsKey(j.spec.id())) continue;
+            double share = 1;
+            for (Node n : nodes.values()) {
+                if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot)
+                        && j.spec.need().fitsIn(n.machine.type.size())) {
+                    share = Math.min(share, j.spec.need().shareOf(n.machine.type.size()));
+                }
+            }
+            waiting += Math.min(j.open(), Constants.SPILL_BAR_TASKS) * share;
+        }
+        List<Node> dear = new ArrayList<>();
+        for (Node n : nodes.values()) if (n.machine.type.size().gpus() > 0) dear.add(n);
+        // The machines with most free accelerators empty first; those barred before stay so.
+        dear.sort(Comparator.comparing((Node n) -> n.machine.noSpillUntilS <= nowS)
+                .thenComparingDouble(n -> -n.idle.shareOf(n.machine.type.size())).thenComparing(n -> n.machine.name));
+        int bar = (int) Math.min(Math.ceil(waiting), Math.ceil(dear.size() * Constants.SPILL_BAR_SHARE));
+        for (int i = 0; i < dear.size(); i++) {
+            Machine m = dear.get(i).machine;
+            if (i < bar) m.noSpillUntilS = Math.max(m.noSpillUntilS, nowS + Constants.SPILL_BAR_S);
+            else if (waiting == 0) m.noSpillUntilS = Double.NEGATIVE_INFINITY;
+        }
+        List<Job> jobs = new ArrayList<>();
+        for (Job j : pending) {
+            if (j.open() > 0 && !j.spec.gang() && j.spec.need().gpus() == 0 && cluster.spilling.contains(j.spec.id())) {
+                jobs.add(j);
+            }
+        }
+        TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole);
+        for (Job j = q.next(); j != null; j = q.next()) array(j, true);
+    }
+
     private void serve(List<Job> jobs) {
         TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole);
         for (Job j = q.next(); j != null; j = q.next()) {
             if (j.spec.gang()) gang(j);
-            else array(j);
+            else array(j, false);
         }
     }
 
@@ -221,7 +261,7 @@
         return c;
     }
 
-    private void array(Job j) {
+    private void array(Job j, boolean spilled) {
         Resources need = j.spec.need();
         Team team = cluster.team(j.spec.team());
         Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
@@ -229,7 +269,10 @@
         if (budget <= 0) return;
         List<Node> fit = new ArrayList<>();
         for (Node n : nodes.values()) {
-            if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot) && n.countNow(need) > 0) fit.add(n);
+            if (spilled && (n.machine.type.size().gpus() == 0 || n.machine.noSpillUntilS > nowS)) continue;
+            if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot) && n.countNow(need, spilled) > 0) {
+                fit.add(n);
+            }
         }
         if (fit.isEmpty()) return;
         Map<Node, Double> costs = new HashMap<>();
@@ -246,7 +289,7 @@
         for (Node n : fit) {
             String zone = n.machine.zone;
             if (j.spec.oneZone() && only != null && !only.equals(zone)) continue;
-            int k = n.countNow(need);
+            int k = n.countNow(need, spilled);
             while (k > 0 && budget > 0) {
                 while (task < j.spec.tasks() && !j.wants(task, nowS)) task++;
                 if (task >= j.spec.tasks()) break;
--- a/src/main/java/org/mountlug/core/allocate/Node.java
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -33,11 +33,16 @@
      * accelerators do not need in proportion, or the dear machines fill up with what runs anywhere.
      */
     public int countNow(Resources need) {
+        return countNow(need, false);
+    }
+
+    /** The same; spilled work may have the whole machine. */
+    public int countNow(Resources need, boolean spilled) {
         Resources f = future();
         Resources room = new Resources(Math.min(idle.cpus(), f.cpus()), Math.min(idle.gpus(), f.gpus()),
                 Math.min(idle.ramGb(), f.ramGb()));
         Resources size = machine.type == null ? Resources.ZERO : machine.type.size();
-        if (need.gpus() == 0 && size.gpus() > 0) {
+        if (!spilled && need.gpus() == 0 && size.gpus() > 0) {
             double part = Math.max(0, room.gpus()) / size.gpus();
             room = room.minus(new Resources(size.cpus() * part, 0, size.ramGb() * part));
         }
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -51,6 +51,8 @@
     /** By class: mean of actual over estimated run time, learnt from finished tasks. */
     private final Map<String, double[]> pace = new HashMap<>();
     private final List<String> notes = new ArrayList<>();
+    /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole dear ones. */
+    public final java.util.Set<String> spilling = new java.util.HashSet<>();
 
     public Cluster(long token, double leaseS, Collection<Team> teams) {
         this.token = token;
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -42,6 +42,8 @@
     /** Whether its failures have condemned it. */
     public boolean sick;
     public double idleSinceS;
+    /** Steady seconds until which no spilled work is added, so that accelerator work can have it. */
+    public double noSpillUntilS = Double.NEGATIVE_INFINITY;
 
     public final Map<String, Placement> placed = new LinkedHashMap<>();
     /** Attempts it reports that no record places here; they occupy room until they exit. */
--- a/src/main/java/org/mountlug/core/model/Job.java
+++ b/src/main/java/org/mountlug/core/model/Job.java
@@ -58,7 +58,15 @@
 
     /** Whether nothing of it can run any more and its record may move to the finished ones. */
     public boolean over() {
-        return complete() || cancelled && placed.isEmpty();
+        return cancelled ? placed.isEmpty() : complete();
+    }
+
+    /**
+     * Whether the finished record says done. Once a user has been told that the job is cancelled it stays so, even if
+     * its last task completes before it can be stopped.
+     */
+    public boolean endsAsDone() {
+        return complete() && !cancelled;
     }
 
     public int open() {
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -80,10 +80,15 @@
         }
     }
 
+    /** Seconds left until the job's tasks must start for it to be done when due. */
+    private double slackS(Job j, double nowEpochS) {
+        double est = cluster.expectedS(j);
+        return aims.dueEpochS(j.spec, est) - nowEpochS - est;
+    }
+
     /** Seconds that a job's tasks may wait for machines that exist already. */
     private double horizonS(Job j, double nowEpochS) {
-        double est = cluster.expectedS(j);
-        double slack = aims.dueEpochS(j.spec, est) - nowEpochS - est;
+        double slack = slackS(j, nowEpochS);
         return Math.min(Constants.HORIZON_MAX_S, Math.max(Constants.HORIZON_MIN_S, slack * Constants.HORIZON_SHARE));
     }
 
@@ -109,6 +114,7 @@
         jobs.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, cluster.expectedS(j))));
         Map<String, Resources> usage = cluster.usage();
+        cluster.spilling.clear();
         Map<String, Integer> wanted = new HashMap<>();
         Map<String, Rental> out = new HashMap<>();
         for (Job j : jobs) {
@@ -125,52 +131,77 @@
             }
             double est = cluster.expectedS(j);
             double horizon = horizonS(j, nowEpochS);
-            for (Vessel v : vessels) {
-                if (n <= 0) break;
-                if (!s.allows(v.type.name(), v.zone, v.spot)) continue;
-                if (s.need().gpus() == 0 && v.type.size().gpus() > 0) continue;
-                n -= v.takes(s, est, horizon, n);
+            boolean plain = s.need().gpus() == 0;
+            n -= pour(vessels, s, est, horizon, n, plain);
+            n -= rent(s, est, horizon, n, plain, vessels, wanted, out, nowS);
+            if (n > 0 && plain) {
+                // Every cheap kind is exhausted: what can wait waits, the rest is worth a dear machine.
+                double patience = Math.max(horizon, slackS(j, nowEpochS) * Constants.SPILL_SHARE);
+                n -= pour(vessels, s, est, patience, n, true);
+                if (n > 0) {
+                    cluster.spilling.add(s.id());
+                    n -= pour(vessels, s, est, patience, n, false);
+                    rent(s, est, patience, n, false, vessels, wanted, out, nowS);
+                }
             }
-            while (n > 0) {
-                Vessel best = null;
-                int machines = 0;
-                double least = Double.MAX_VALUE;
-                for (MachineType t : cluster.types()) {
-                    if (!s.allows(t) || s.need().gpus() == 0 && t.size().gpus() > 0) continue;
-                    for (String zone : t.zones()) for (int k = 0; k < 2; k++) {
-                        boolean spot = k == 1;
-                        if (!s.allows(t.name(), zone, spot)) continue;
-                        if (exhausted.getOrDefault(kind(t.name(), zone, spot), 0.0) > nowS) continue;
-                        int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, n);
-                        if (per == 0) continue;
-                        int count = (n + per - 1) / per;
-                        double busy = Math.max(30, est * Math.ceil((double) n / count
-                                / Math.max(1, s.need().countIn(t.size()))));
-                        double c = count * t.price(spot) * (spot ? spotRisk : 1) * (t.bootS() + busy);
-                        if (c < least) {
-                            least = c;
-                            best = new Vessel(t, zone, spot, t.bootS());
-                            machines = count;
-                        }
+        }
+        return new ArrayList<>(out.values());
+    }
+
+    /** Lays up to {@code n} tasks over the vessels; returns how many they take. */
+    private static int pour(List<Vessel> vessels, JobSpec s, double est, double horizon, int n, boolean cheapOnly) {
+        int taken = 0;
+        for (Vessel v : vessels) {
+            if (taken >= n) break;
+            if (!s.allows(v.type.name(), v.zone, v.spot) || cheapOnly && v.type.size().gpus() > 0) continue;
+            taken += v.takes(s, est, horizon, n - taken);
+        }
+        return taken;
+    }
+
+    /** Adds rentals for {@code n} tasks; returns how many they serve. */
+    private int rent(JobSpec s, double est, double horizon, int n, boolean cheapOnly, List<Vessel> vessels,
+                     Map<String, Integer> wanted, Map<String, Rental> out, double nowS) {
+        int left = n;
+        while (left > 0) {
+            Vessel best = null;
+            int machines = 0;
+            double least = Double.MAX_VALUE;
+            for (MachineType t : cluster.types()) {
+                if (!s.allows(t) || cheapOnly && t.size().gpus() > 0) continue;
+                for (String zone : t.zones()) for (int k = 0; k < 2; k++) {
+                    boolean spot = k == 1;
+                    if (!s.allows(t.name(), zone, spot)) continue;
+                    if (exhausted.getOrDefault(kind(t.name(), zone, spot), 0.0) > nowS) continue;
+                    int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, left);
+                    if (per == 0) continue;
+                    int count = (left + per - 1) / per;
+                    double busy = Math.max(30, est * Math.ceil((double) left / count
+                            / Math.max(1, s.need().countIn(t.size()))));
+                    double c = count * t.price(spot) * (spot ? spotRisk : 1) * (t.bootS() + busy);
+                    if (c < least) {
+                        least = c;
+                        best = new Vessel(t, zone, spot, t.bootS());
+                        machines = count;
                     }
                 }
-                if (best == null) break;
-                String kind = kind(best.type.name(), best.zone, best.spot);
-                int have = wanted.getOrDefault(kind, 0);
-                int take = Math.min(machines, Constants.RENT_MAX - have);
-                if (take <= 0) break;
-                wanted.put(kind, have + take);
-                for (int i = 0; i < take && n > 0; i++) {
-                    Vessel v = new Vessel(best.type, best.zone, best.spot, best.bootS);
-                    n -= Math.max(1, v.takes(s, est, horizon, n));
-                    vessels.add(v);
-                }
-                Rental old = out.get(kind);
-                out.put(kind, new Rental(old == null ? "h-" + cluster.token() + "-" + ++counter : old.name(),
-                        best.type.name(), best.zone, best.spot, have + take));
             }
+            if (best == null) break;
+            String kind = kind(best.type.name(), best.zone, best.spot);
+            int have = wanted.getOrDefault(kind, 0);
+            int take = Math.min(machines, Constants.RENT_MAX - have);
+            if (take <= 0) break;
+            wanted.put(kind, have + take);
+            for (int i = 0; i < take && left > 0; i++) {
+                Vessel v = new Vessel(best.type, best.zone, best.spot, best.bootS);
+                left -= Math.max(1, v.takes(s, est, horizon, left));
+                vessels.add(v);
+            }
+            Rental old = out.get(kind);
+            out.put(kind, new Rental(old == null ? "h-" + cluster.token() + "-" + ++counter : old.name(),
+                    best.type.name(), best.zone, best.spot, have + take));
         }
-        return new ArrayList<>(out.values());
+        return n - Math.max(0, left);
     }
 
     /** Machines to return now: idle, condemned, never up, or silent beyond their lease. Marks them. */
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -43,7 +43,7 @@
 final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
 
-    private record Item(Job job, boolean over, long version, String writeId) {}
+    private record Item(Job job, boolean over, boolean done, long version, String writeId) {}
 
     private final Settings settings;
     private final Election election;
@@ -244,8 +244,8 @@
         Job j = i.job;
         if (i.over) {
             cluster.finished(j, stamp);
-            finals.put(j.spec.id(), j.complete(), j.spec.tasks());
-            metrics.finished(j.complete());
+            finals.put(j.spec.id(), i.done, j.spec.tasks());
+            metrics.finished(i.done);
             return;
         }
         j.stamp = Math.max(j.stamp, stamp);
@@ -360,13 +360,13 @@
             c.guard(key, j.stamp);
             if (over) {
                 c.delete(key);
-                c.put(RecordCodec.FINAL + j.spec.id(), RecordCodec.over(j.complete(), j.spec.tasks()));
+                c.put(RecordCodec.FINAL + j.spec.id(), RecordCodec.over(j.endsAsDone(), j.spec.tasks()));
             } else {
                 Map<String, Object> v = RecordCodec.job(j, writeId);
                 c.put(key, v);
                 bytes += String.valueOf(v).length() + 200;
             }
-            items.add(new Item(j, over, j.version, writeId));
+            items.add(new Item(j, over, j.endsAsDone(), j.version, writeId));
             used += cost;
             if (bytes > Constants.TXN_BYTES) break;
         }
--- a/src/test/java/org/mountlug/core/ProofTest.java
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -137,6 +137,19 @@
         assertTrue(j.over());
     }
 
+    /** Found by a day of other luck: told cancelled, then the last task completed and the record said done. */
+    @Test
+    void aCancelledJobNeverEndsAsDone() {
+        j.done.set(1);
+        place();
+        Samples.persist(j);
+        beat(1, 2);
+        c.cancelled(j, 3);
+        beat(1, 3, item("wk-000001", 0, 1, TaskState.EXITED, Cause.DONE));
+        assertTrue(j.complete() && j.over());
+        assertFalse(j.endsAsDone());
+    }
+
     @Test
     void whatNoRecordPlacesHereIsStoppedAndBlocksTheMachine() {
         assertEquals(List.of("STOP wk-000009/3#4"), beat(1, 2, item("wk-000009", 3, 4, TaskState.RUNNING, Cause.NONE)));
