--- a/src/main/java/org/mountlug/core/model/Aims.java
+++ b/src/main/java/org/mountlug/core/model/Aims.java
@@ -8,6 +8,11 @@
     /** Seconds from submission allowed to a job of a class without aims. */
     private static final double UNSTATED_S = 300;
 
+    /** Multiple of the time allowed up to which a late job is still worth more than a hopeless one. */
+    private static final double LATE_FACTOR = 1.5;
+    /** More seconds than any two due times differ by. */
+    private static final double TIER = 1e7;
+
     private final Map<String, Double> wait = new HashMap<>();
     private final Map<String, Double> finished = new HashMap<>();
 
@@ -35,6 +40,18 @@
         return s.submittedMs() / 1000.0 + withinS(s, expectedS);
     }
 
+    /**
+     * The order in which jobs of one queue are served: by when they are due, but those that can no longer be in time
+     * after those that can, and the hopeless last. By due time alone, one overload makes every later job late too.
+     */
+    public double orderKey(JobSpec s, double expectedS, double nowEpochS) {
+        double within = withinS(s, expectedS);
+        double at = s.submittedMs() / 1000.0;
+        double end = nowEpochS + expectedS;
+        if (end <= at + within) return at + within;
+        return at + within + (end <= at + within * LATE_FACTOR ? TIER : 2 * TIER);
+    }
+
     /** Seconds within which a class's tasks should start, or NaN. */
     public double waitS(String lane) {
         return wait.getOrDefault(lane, Double.NaN);
