--- a/src/main/java/org/mountlug/core/model/Aims.java
+++ b/src/main/java/org/mountlug/core/model/Aims.java
@@ -44,11 +44,13 @@
      * The order in which jobs of one queue are served: by when they are due, but those that can no longer be in time
      * after those that can, and the hopeless last. By due time alone, one overload makes every later job late too.
      */
-    public double orderKey(JobSpec s, double expectedS, double nowEpochS) {
+    public double orderKey(JobSpec s, int open, double expectedS, double nowEpochS) {
         double within = withinS(s, expectedS);
         double at = s.submittedMs() / 1000.0;
         double end = nowEpochS + expectedS;
-        if (end <= at + within) return at + within;
+        // What is half done keeps its turn for longer: dropping it would waste the half.
+        boolean invested = open * 2 <= s.tasks() && end <= at + within * LATE_FACTOR;
+        if (end <= at + within || invested) return at + within;
         return at + within + (end <= at + within * LATE_FACTOR ? TIER : 2 * TIER);
     }
 
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -309,7 +309,7 @@
         cluster.expireLeases(now);
         scaler.drain(now);
         double epochS = System.currentTimeMillis() / 1000.0;
-        Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, cluster.expectedS(j), epochS), now);
+        Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS), now);
         int placed = round.round();
         metrics.placed(placed);
         List<Job> unplaced = new ArrayList<>();
