Hold the machine that frees first for a gang that found no room

Cause: whole-machine gangs (opponent-train) found every machine refilled by small tasks as soon as one ended. Ruled out: preemption, as the protocol forbids it within a priority.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -80,6 +80,8 @@
     /** Seconds after a stop order in which nothing else is stopped for the same job. */
     public static final double PREEMPT_PAUSE_S = 3.0;
 
+    /** Seconds within which a machine must be expected to come free to be held for a gang. */
+    public static final double HOLD_MAX_S = 60;
     /** Tasks of one waiting accelerator job for which machines are kept from spilled work. */
     public static final int SPILL_BAR_TASKS = 8;
     /** Share of the accelerator machines that may be kept from spilled work at the same time. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -62,6 +62,12 @@
                 if (j != null && n != null) n.pipelined = n.pipelined.plus(j.spec.need());
             }
         }
+        for (Machine m : cluster.machines.values()) {
+            Job j = m.heldFor == null ? null : cluster.jobs.get(m.heldFor);
+            if (j == null || j.cancelled || !j.placed.isEmpty() || cluster.reservations.containsKey(m.heldFor)) {
+                m.heldFor = null;
+            }
+        }
         List<Job> pipelined = new ArrayList<>();
         List<Job> pending = new ArrayList<>();
         for (Job j : cluster.jobs.values()) {
@@ -74,10 +80,66 @@
         }
         serve(pipelined);
         serve(pending);
+        hold(pending);
         spill(pending);
         return placedCount;
     }
 
+    /**
+     * A gang that found neither idle nor releasing room keeps the machines that should be free first from being filled
+     * again. The design reserves room that tasks were told to leave; this does the same for room that tasks are about
+     * to leave by themselves, without which a gang of whole machines starves behind a stream of small tasks.
+     */
+    private void hold(List<Job> pending) {
+        for (Job j : pending) {
+            if (!j.spec.gang() || !j.placed.isEmpty() || cluster.reservations.containsKey(j.spec.id())) continue;
+            int missing = j.spec.tasks();
+            String zone = null;
+            for (Node n : nodes.values()) {
+                if (j.spec.id().equals(n.machine.heldFor)) {
+                    missing--;
+                    zone = n.machine.zone;
+                }
+            }
+            while (missing-- > 0) {
+                Node best = null;
+                double soonest = Constants.HOLD_MAX_S;
+                for (Node n : nodes.values()) {
+                    Machine m = n.machine;
+                    if (m.heldFor != null || j.spec.oneZone() && zone != null && !zone.equals(m.zone)) continue;
+                    if (!j.spec.allows(m.type.name(), m.zone, m.spot) || !j.spec.need().fitsIn(m.type.size())) continue;
+                    double t = freeInS(n, j.spec.need());
+                    if (t < soonest) {
+                        soonest = t;
+                        best = n;
+                    }
+                }
+                if (best == null) break;
+                best.machine.heldFor = j.spec.id();
+                zone = best.machine.zone;
+            }
+        }
+    }
+
+    /** Seconds until a machine should have this much room, if it gets nothing new. */
+    private double freeInS(Node n, Resources need) {
+        List<Placement> l = new ArrayList<>(n.machine.placed.values());
+        Map<Placement, Double> left = new HashMap<>();
+        for (Placement p : l) {
+            double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
+            left.put(p, Math.max(1, cluster.expectedS(p.job) - ran));
+        }
+        l.sort(Comparator.comparingDouble(left::get));
+        Resources room = n.idle.minus(n.pipelined);
+        double t = 0;
+        for (Placement p : l) {
+            if (need.fitsIn(room)) break;
+            room = room.plus(p.job.spec.need());
+            t = left.get(p);
+        }
+        return need.fitsIn(room) ? t : Double.MAX_VALUE;
+    }
+
     /**
      * Work that the cheap machines cannot serve in time gets what accelerator work leaves on dear ones. Where
      * accelerator work waits, some machines are barred from it, so that they empty as short tasks end: without that,
@@ -225,7 +287,8 @@
 
     private boolean allowed(Job j, Node n, String zone, Map<String, Integer> perZone) {
         Machine m = n.machine;
-        return j.spec.allows(m.type.name(), m.zone, m.spot) && (zone == null || zone.equals(m.zone))
+        return (m.heldFor == null || m.heldFor.equals(j.spec.id()))
+                && j.spec.allows(m.type.name(), m.zone, m.spot) && (zone == null || zone.equals(m.zone))
                 && (!j.spec.apart() || perZone.getOrDefault(m.zone, 0) < j.spec.zoneMost());
     }
 
@@ -269,6 +332,7 @@
         if (budget <= 0) return;
         List<Node> fit = new ArrayList<>();
         for (Node n : nodes.values()) {
+            if (n.machine.heldFor != null) continue;
             if (spilled && (n.machine.type.size().gpus() == 0 || n.machine.noSpillUntilS > nowS)) continue;
             if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot) && n.countNow(need, spilled) > 0) {
                 fit.add(n);
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -42,6 +42,8 @@
     /** Whether its failures have condemned it. */
     public boolean sick;
     public double idleSinceS;
+    /** The gang for which it is kept from being filled again, or null. */
+    public String heldFor;
     /** Steady seconds until which no spilled work is added, so that accelerator work can have it. */
     public double noSpillUntilS = Double.NEGATIVE_INFINITY;
 
