--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -219,6 +219,14 @@
         }
         // When most are silent it is more likely us who cannot hear.
         boolean trustSilence = silent * 2 <= up || up <= 2;
+        // Of each type only the machine idle for the shortest time is kept for a boot time: one spare answers the next
+        // job, and a second seldom earns its price.
+        Map<String, Machine> spare = new HashMap<>();
+        for (Machine m : cluster.machines.values()) {
+            if (!m.usable() || !m.empty() || m.type == null) continue;
+            spare.merge(m.type.name(), m, (x, y) -> x.idleSinceS > y.idleSinceS
+                    || x.idleSinceS == y.idleSinceS && x.name.compareTo(y.name) < 0 ? x : y);
+        }
         for (Machine m : cluster.machines.values()) {
             if (m.releasing) {
                 out.add(m.name); // asked for before without an answer: asking again is harmless
@@ -235,7 +243,7 @@
             } else if (m.sick && m.placed.isEmpty()) {
                 why = "sick";
             } else if (m.synced && m.empty() && !reserved.contains(m.name)
-                    && nowS - m.idleSinceS > idleKeepS + 0.75 * boot) {
+                    && nowS - m.idleSinceS > idleKeepS + (known && spare.get(m.type.name()) == m ? boot / 2 : 0)) {
                 why = "idle";
             }
             if (why == null) continue;
