Controllers tell one another of aborts and of being served

Cause: a leader that the state service refuses had to stop renewing leases after cancel_s less lease_s, and a node refused alone went on taking users.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -129,6 +129,9 @@
     /** Milliseconds without one served state request after which a node calls itself unhealthy, if a peer is served. */
     public static final int UNSERVED_MS = 4000;
 
+    /** Seconds for which a node tells its peers of an abort; several missed words must not lose one. */
+    public static final double ABORT_MEMORY_S = 20;
+
     // ---- peers ------------------------------------------------------------------------------------------------
     /** Milliseconds between words to a peer. */
     public static final int PEER_MS = 1000;
--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -296,8 +296,10 @@
                 Map<String, Object> v = new LinkedHashMap<>(record);
                 v.put("x", true);
                 state.commit(new Change().guard(RecordCodec.LIVE + id, stamp).put(RecordCodec.LIVE + id, v), a -> {
-                    if (a.status() == 200) answer(x, 200, status(id, "withdrawn", 0, 0));
-                    else if (a.status() == 409) abort(x, id, tries - 1);
+                    if (a.status() == 200) {
+                        node.abortAccepted(id);
+                        answer(x, 200, status(id, "withdrawn", 0, 0));
+                    } else if (a.status() == 409) abort(x, id, tries - 1);
                     else empty(x, 503);
                 });
             }
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -386,5 +386,9 @@
             placedCount++;
         }
         j.touch(nowS, true);
+        if (j.spec.gang()) {
+            cluster.note("placed gang " + j.spec.id() + " on " + s.ops().get(0).node().machine.name + " after "
+                    + Math.round(nowS - j.seenS) + " s");
+        }
     }
 }
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -12,6 +12,9 @@
 import org.mountlug.core.model.MachineType;
 import org.mountlug.core.model.Order;
 import org.mountlug.core.model.Report;
+import org.mountlug.peer.PeerCodec;
+import org.mountlug.peer.PeerView;
+import org.mountlug.peer.Peers;
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
 import org.mountlug.store.Change;
@@ -61,11 +64,18 @@
     private long leaderWatchFrom = -1;
     private boolean watchingLeader;
     private boolean stopped;
+    private final PeerView peerView;
+    private Peers peers;
+    private double nextPeerS;
+    private final long boot;
 
     public Controller(Settings settings, Operators operators) {
         this.settings = settings;
         this.operators = operators;
-        this.election = new Election(settings.label(), Long.toHexString(random.nextLong()));
+        this.boot = random.nextLong();
+        this.election = new Election(settings.label(), Long.toHexString(boot));
+        this.peerView = new PeerView(settings.others().stream().map(Settings.Peer::label).toList(),
+                Constants.ABORT_MEMORY_S);
         for (Settings.Objective o : settings.objectives()) {
             if (Double.isNaN(o.withinS())) continue;
             if (o.kind().equals("wait")) aims.wait(o.lane(), o.withinS());
@@ -101,6 +111,10 @@
                 .setSocketOption(Options.BACKLOG, 512)
                 .build();
         server.start();
+        Map<String, String> others = new LinkedHashMap<>();
+        for (Settings.Peer p : settings.others()) others.put(p.label(), p.endpoint());
+        peers = new Peers(worker, io, Controller::clockS, others, this::tellPeer, this::heardPeer);
+        peers.listen(settings.clusterListen());
         LOG.info("{} listens on {}", settings.label(), settings.listen());
         io.execute(this::tick);
     }
@@ -109,6 +123,7 @@
     public void stop() {
         stopped = true;
         server.stop();
+        peers.close();
         worker.shutdownNow();
     }
 
@@ -125,6 +140,11 @@
             watchLeader();
             types();
             if (leader != null) leader.tick();
+            double now = clockS();
+            if (now >= nextPeerS) {
+                nextPeerS = now + Constants.PEER_MS / 1000.0;
+                peers.ask();
+            }
         } catch (RuntimeException e) {
             LOG.error("a turn failed", e);
         }
@@ -209,6 +229,36 @@
         });
     }
 
+    // ---- peers ------------------------------------------------------------------------------------------------
+
+    private PeerCodec.Answer tellPeer(long serial) {
+        double now = clockS();
+        return new PeerCodec.Answer(serial, boot, state.served(), knownToken(), false, peerView.aborts(now));
+    }
+
+    private long knownToken() {
+        return election.leading() ? election.token() : election.seenStamp();
+    }
+
+    private void heardPeer(String label, Peers.Heard h) {
+        double now = clockS();
+        peerView.answered(label, h.askedS(), now, h.answer());
+        if (leader == null) return;
+        if (h.answer().token() > election.token()) {
+            LOG.info("deposed: {} knows token {}", label, h.answer().token());
+            election.depose();
+            return;
+        }
+        for (String id : h.answer().aborts()) leader.abortTold(id);
+        leader.viewHolds(peerView.knownUntilS(leader.viewS(), now));
+    }
+
+    /** This node is about to tell a user that the job is cancelled; said before the user hears it. */
+    public void abortAccepted(String id) {
+        peerView.aborted(id, clockS());
+        if (leader != null) leader.abortTold(id);
+    }
+
     // ---- catalogue --------------------------------------------------------------------------------------------
 
     /** Without the machine types no submission can be judged; the state service keeps them for when the cloud fails. */
@@ -299,6 +349,9 @@
 
     /** Whether this node can take requests. */
     public boolean healthy() {
-        return !types.isEmpty() || clockS() - state.servedS() < 5;
+        // A node that alone is refused sends its users elsewhere; in an outage for all there is no elsewhere.
+        double now = clockS();
+        boolean refused = !state.served() && now - state.servedS() > Constants.UNSERVED_MS / 1000.0;
+        return !(refused && peerView.anyServed(now));
     }
 }
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -264,6 +264,12 @@
         return nowS < viewS + settings.cancelS() - settings.leaseS() * (1 + Constants.DRIFT) - Constants.CANCEL_MARGIN_S;
     }
 
+    /** A user was told that this job is cancelled; the record says so too, but may not be readable now. */
+    void abortTold(String id) {
+        Job j = cluster.jobs.get(id);
+        if (loaded && j != null && !j.cancelled) cluster.cancelled(j, clockS.getAsDouble());
+    }
+
     /** The peers have shown that nobody was served after our last view, up to this time. */
     void viewHolds(double untilS) {
         viewS = Math.max(viewS, untilS);
--- /dev/null
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -0,0 +1,75 @@
+package org.mountlug.peer;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the peers' answers prove, without any I/O. While the state service serves nobody, a leader must go on renewing
+ * workers' leases, or all work dies; but only up to a time until which every abort told to a user is known to it. Each
+ * answer lists the peer's aborts, so it proves that up to when it was asked for; a peer that is silent, or was started
+ * anew since, has proven nothing for the time between.
+ */
+public final class PeerView {
+    private record Known(long boot, double sinceS, double untilS, boolean served, double heardS, long token) {}
+
+    private record Abort(String id, double atS) {}
+
+    private final List<String> peers;
+    private final double keepS;
+    private final Map<String, Known> known = new HashMap<>();
+    private final ArrayDeque<Abort> aborts = new ArrayDeque<>();
+
+    public PeerView(List<String> peers, double keepS) {
+        this.peers = peers;
+        this.keepS = keepS;
+    }
+
+    /** This node is about to tell a user that the job is cancelled. */
+    public synchronized void aborted(String id, double nowS) {
+        aborts.addLast(new Abort(id, nowS));
+        while (!aborts.isEmpty() && nowS - aborts.peekFirst().atS() > keepS) aborts.pollFirst();
+    }
+
+    public synchronized List<String> aborts(double nowS) {
+        List<String> l = new ArrayList<>();
+        for (Abort a : aborts) if (nowS - a.atS() <= keepS) l.add(a.id());
+        return l;
+    }
+
+    public synchronized void answered(String peer, double askedS, double nowS, PeerCodec.Answer a) {
+        Known k = known.get(peer);
+        // Aborts are listed for keepS only, so a longer gap, like a new process or an overflow, starts anew.
+        boolean goesOn = k != null && k.boot() == a.boot() && !a.overflow() && nowS - k.untilS() < keepS / 2;
+        known.put(peer, new Known(a.boot(), goesOn ? k.sinceS() : askedS, askedS, a.served(), nowS, a.token()));
+    }
+
+    /**
+     * The steady seconds up to which all aborts are known, given that they are up to {@code viewS} by the state
+     * service: later only if every peer's answers reach back to that time without a gap.
+     */
+    public synchronized double knownUntilS(double viewS, double nowS) {
+        double until = nowS;
+        for (String p : peers) {
+            Known k = known.get(p);
+            if (k == null || k.sinceS() > viewS) return viewS;
+            until = Math.min(until, k.untilS());
+        }
+        return Math.max(viewS, until);
+    }
+
+    /** Whether some peer said lately that the state service serves it. */
+    public synchronized boolean anyServed(double nowS) {
+        for (Known k : known.values()) if (k.served() && nowS - k.heardS() < 3) return true;
+        return false;
+    }
+
+    /** The highest leader's token that a peer knows of. */
+    public synchronized long highestToken() {
+        long t = 0;
+        for (Known k : known.values()) t = Math.max(t, k.token());
+        return t;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/peer/Peers.java
@@ -0,0 +1,191 @@
+package org.mountlug.peer;
+
+import org.mountlug.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongFunction;
+
+/**
+ * Connections to the other controllers: one a peer, one question in flight, asked once a second. A peer that does not
+ * answer in time loses its connection, so a silent one costs a socket and nothing else.
+ */
+public final class Peers {
+    private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+
+    private final XnioWorker worker;
+    private final XnioIoThread io;
+    private final DoubleSupplier clockS;
+    private final LongFunction<PeerCodec.Answer> self;
+    private final BiConsumer<String, Heard> heard;
+    private final List<Link> links = new ArrayList<>();
+    private final Set<StreamConnection> accepted = new HashSet<>();
+    private AcceptingChannel<StreamConnection> server;
+    private long serial;
+
+    /** An answer and when its question was sent. */
+    public record Heard(double askedS, PeerCodec.Answer answer) {}
+
+    public Peers(XnioWorker worker, XnioIoThread io, DoubleSupplier clockS, Map<String, String> others,
+                 LongFunction<PeerCodec.Answer> self, BiConsumer<String, Heard> heard) {
+        this.worker = worker;
+        this.io = io;
+        this.clockS = clockS;
+        this.self = self;
+        this.heard = heard;
+        others.forEach((label, address) -> links.add(new Link(label, socket(address))));
+    }
+
+    private static InetSocketAddress socket(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    public void listen(String address) throws IOException {
+        server = worker.createStreamConnectionServer(socket(address), ch -> {
+            try {
+                StreamConnection c;
+                while ((c = ch.accept()) != null) serve(c);
+            } catch (IOException e) {
+                LOG.debug("accepting a peer: {}", e.toString());
+            }
+        }, OptionMap.EMPTY);
+        server.resumeAccepts();
+    }
+
+    public void close() {
+        IoUtils.safeClose(server);
+        for (Link l : links) l.close();
+        accepted.forEach(IoUtils::safeClose);
+    }
+
+    private void serve(StreamConnection c) {
+        // Two others, each with one connection and perhaps a dead one not yet noticed.
+        if (accepted.size() >= 4 * Math.max(1, links.size())) {
+            StreamConnection oldest = accepted.iterator().next();
+            accepted.remove(oldest);
+            IoUtils.safeClose(oldest);
+        }
+        accepted.add(c);
+        c.setCloseListener(x -> accepted.remove(c));
+        reading(c, f -> write(c, PeerCodec.answer(self.apply(f.getLong()))));
+    }
+
+    private static void reading(StreamConnection c, java.util.function.Consumer<ByteBuffer> frames) {
+        ByteBuffer in = ByteBuffer.allocate(2 * PeerCodec.FRAME_MAX);
+        c.getSourceChannel().setReadListener(ch -> {
+            try {
+                int n;
+                while ((n = ch.read(in)) > 0) {
+                    in.flip();
+                    ByteBuffer f;
+                    while ((f = PeerCodec.next(in)) != null) frames.accept(f);
+                    in.compact();
+                }
+                if (n < 0) IoUtils.safeClose(c);
+            } catch (IOException | RuntimeException e) {
+                LOG.debug("peer connection: {}", e.toString());
+                IoUtils.safeClose(c);
+            }
+        });
+        c.getSourceChannel().resumeReads();
+    }
+
+    private static boolean write(StreamConnection c, ByteBuffer b) {
+        try {
+            while (b.hasRemaining()) {
+                if (c.getSinkChannel().write(b) == 0) {
+                    IoUtils.safeClose(c); // it does not read: not worth waiting for
+                    return false;
+                }
+            }
+            c.getSinkChannel().flush();
+            return true;
+        } catch (IOException e) {
+            IoUtils.safeClose(c);
+            return false;
+        }
+    }
+
+    /** Asks every peer; to be called about once a second. */
+    public void ask() {
+        for (Link l : links) l.ask();
+    }
+
+    private final class Link {
+        final String label;
+        final InetSocketAddress address;
+        StreamConnection connection;
+        IoFuture<StreamConnection> opening;
+        double sinceS;
+        long waitingFor;
+
+        Link(String label, InetSocketAddress address) {
+            this.label = label;
+            this.address = address;
+        }
+
+        void close() {
+            IoUtils.safeClose(connection);
+            connection = null;
+            if (opening != null) opening.cancel();
+            opening = null;
+            waitingFor = 0;
+        }
+
+        void ask() {
+            double now = clockS.getAsDouble();
+            if ((waitingFor != 0 || opening != null) && now - sinceS > Constants.PEER_TIMEOUT_MS / 1000.0) close();
+            if (waitingFor != 0 || opening != null) return;
+            if (connection == null || !connection.isOpen()) {
+                sinceS = now;
+                IoFuture<StreamConnection> f = io.openStreamConnection(address, c -> {
+                    if (opening == null) {
+                        IoUtils.safeClose(c);
+                        return;
+                    }
+                    opening = null;
+                    connection = c;
+                    reading(c, this::frame);
+                    send();
+                }, OptionMap.EMPTY);
+                opening = f;
+                f.addNotifier((x, o) -> {
+                    if (x.getStatus() != IoFuture.Status.DONE && opening == x) opening = null;
+                }, null);
+                return;
+            }
+            send();
+        }
+
+        void send() {
+            sinceS = clockS.getAsDouble();
+            waitingFor = ++serial;
+            if (!write(connection, PeerCodec.question(serial))) close();
+        }
+
+        void frame(ByteBuffer f) {
+            PeerCodec.Answer a = PeerCodec.answer(f);
+            if (a.serial() != waitingFor) return;
+            waitingFor = 0;
+            heard.accept(label, new Heard(sinceS, a));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -0,0 +1,77 @@
+package org.mountlug.peer;
+
+import org.junit.jupiter.api.Test;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Frames, and what the peers' answers prove to a leader that the state service does not serve. */
+class PeerTest {
+    private final PeerView v = new PeerView(List.of("y", "z"), 20);
+
+    private void answer(String peer, double asked, long boot, boolean overflow) {
+        v.answered(peer, asked, asked + 0.1, new PeerCodec.Answer(1, boot, false, 3, overflow, List.of()));
+    }
+
+    @Test
+    void framesSurviveAndArriveInPieces() {
+        PeerCodec.Answer a = new PeerCodec.Answer(5, -9, true, 77, false, List.of("wk-000001", "wk-123456"));
+        ByteBuffer whole = PeerCodec.answer(a);
+        ByteBuffer part = whole.duplicate().limit(10);
+        assertNull(PeerCodec.next(part));
+        assertEquals(a, PeerCodec.answer(PeerCodec.next(whole)));
+        assertThrows(IllegalArgumentException.class, () -> PeerCodec.next(ByteBuffer.allocate(8).putInt(1 << 20).rewind()));
+    }
+
+    @Test
+    void aSilentPeerHasProvenNothing() {
+        answer("y", 9, 1, false);
+        answer("y", 12, 1, false);
+        assertEquals(10, v.knownUntilS(10, 12.2));
+    }
+
+    @Test
+    void answersWithoutAGapCarryTheViewOn() {
+        for (int t = 9; t < 20; t++) {
+            answer("y", t, 1, false);
+            answer("z", t + 0.5, 2, false);
+        }
+        assertEquals(19, v.knownUntilS(10, 20));
+    }
+
+    @Test
+    void aPeerStartedAnewHasProvenNothingForTheTimeBefore() {
+        for (int t = 9; t < 20; t++) {
+            answer("y", t, 1, false);
+            answer("z", t, t < 14 ? 2 : 3, false);
+        }
+        assertEquals(10, v.knownUntilS(10, 20));
+        assertEquals(19, v.knownUntilS(15, 20));
+    }
+
+    @Test
+    void anOverflowOrALongGapStartsAnew() {
+        answer("y", 9, 1, false);
+        answer("z", 9, 2, false);
+        answer("y", 15, 1, true);
+        answer("z", 15, 2, false);
+        assertEquals(10, v.knownUntilS(10, 16));
+        answer("y", 40, 1, false);
+        answer("z", 40, 2, false);
+        assertEquals(20, v.knownUntilS(20, 41));
+    }
+
+    @Test
+    void abortsAreToldForAWhile() {
+        v.aborted("wk-000001", 5);
+        assertEquals(List.of("wk-000001"), v.aborts(24));
+        assertTrue(v.aborts(26).isEmpty());
+        assertFalse(v.anyServed(5));
+    }
+}
