Standbys: queued tasks start in the answer that shows a slot free

Cause: a slot idles from the report that shows it free to the next one, 2-3 s of each 15-25 s task. Conclusion: kept on machines without accelerators.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -80,6 +80,10 @@
     /** Seconds after a stop order in which nothing else is stopped for the same job. */
     public static final double PREEMPT_PAUSE_S = 3.0;
 
+    /** Seconds before a task's expected end from which its room may be given away: a round, a write and a report. */
+    public static final double STANDBY_AHEAD_S = 4;
+    /** Seconds after which a task that waits for such room goes back to its queue. */
+    public static final double STANDBY_MAX_S = 10;
     /** Seconds within which a machine must be expected to come free to be held for a gang. */
     public static final double HOLD_MAX_S = 60;
     /** Tasks of one waiting accelerator job for which machines are kept from spilled work. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -82,6 +82,7 @@
         serve(pending);
         hold(pending);
         spill(pending);
+        standby(pending);
         return placedCount;
     }
 
@@ -179,6 +180,62 @@
         for (Job j = q.next(); j != null; j = q.next()) array(j, true);
     }
 
+    /**
+     * Room that running tasks are about to leave is given to queued array tasks ahead of time: written now, started in
+     * the answer to the very report that shows the room free. Without it each slot idles from one report to the next
+     * between two tasks, which for tasks of some seconds is a good part of the fleet. It is the design's pipelining
+     * for tasks that wait for nothing but room.
+     */
+    private void standby(List<Job> pending) {
+        List<Job> jobs = new ArrayList<>();
+        for (Job j : pending) if (!j.spec.gang() && !j.spec.apart() && j.open() > 0) jobs.add(j);
+        if (jobs.isEmpty()) return;
+        Map<Node, Resources> soon = new LinkedHashMap<>();
+        for (Node n : nodes.values()) {
+            // On accelerator machines room is fought over by priority, and a gang wants several slots at once.
+            if (n.machine.type.size().gpus() > 0 || n.machine.heldFor != null || !n.pipelined.isZero() || !n.machine.strays.isEmpty()) continue;
+            Resources r = Resources.ZERO;
+            for (Placement p : n.machine.placed.values()) {
+                if (p.standby) {
+                    r = r.minus(p.job.spec.need());
+                } else if (!Double.isNaN(p.runningS) && !p.stopping) {
+                    double left = cluster.expectedS(p.job) - (nowS - p.runningS);
+                    if (left < Constants.STANDBY_AHEAD_S) r = r.plus(p.job.spec.need());
+                }
+            }
+            if (r.cpus() > 0) soon.put(n, r);
+        }
+        TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole);
+        for (Job j = q.next(); j != null && !soon.isEmpty(); j = q.next()) standby(j, soon);
+    }
+
+    private void standby(Job j, Map<Node, Resources> soon) {
+        Resources need = j.spec.need();
+        Team team = cluster.team(j.spec.team());
+        int budget = Constants.ACTIVE_MAX - j.placed.size();
+        int task = j.done.nextClearBit(0);
+        boolean any = false;
+        for (Map.Entry<Node, Resources> e : soon.entrySet()) {
+            Machine m = e.getKey().machine;
+            if (!j.spec.allows(m.type.name(), m.zone, m.spot)) continue;
+            while (budget > 0 && need.fitsIn(e.getValue()) && j.zoneAllows(m.zone, 1)) {
+                while (task < j.spec.tasks() && !j.wants(task, nowS)) task++;
+                if (task >= j.spec.tasks()) return;
+                Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO).plus(need);
+                if (team != null && !team.allows(used)) return;
+                if (!any) {
+                    any = true;
+                    j.attempts++;
+                    j.touch(nowS, true);
+                }
+                cluster.place(j, task, j.attempts, m, nowS, j.version).standby = true;
+                usage.put(j.spec.team(), used);
+                e.setValue(e.getValue().minus(need));
+                budget--;
+            }
+        }
+    }
+
     private void serve(List<Job> jobs) {
         TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole);
         for (Job j = q.next(); j != null; j = q.next()) {
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -163,7 +163,12 @@
 
     /** Places a task; the start leaves only once the record that holds it is durable. */
     public Placement place(Job j, int task, long attempt, Machine m, double nowS) {
-        Placement p = new Placement(j, task, attempt, m.name, m.zone, m.session, j.version + 1, nowS);
+        return place(j, task, attempt, m, nowS, j.version + 1);
+    }
+
+    /** The same, first held by the record of the given version. */
+    public Placement place(Job j, int task, long attempt, Machine m, double nowS, long version) {
+        Placement p = new Placement(j, task, attempt, m.name, m.zone, m.session, version, nowS);
         j.placed.put(task, p);
         m.placed.put(p.name(), p);
         return p;
@@ -271,6 +276,8 @@
         if (mayStart) for (Placement p : m.placed.values()) {
             if (p.startSentIn >= 0 || p.seen || p.stopping || p.job.cancelled || p.session != m.session) continue;
             if (!p.job.durable(p.version) || jobs.get(p.job.spec.id()) != p.job) continue;
+            if (p.standby && !mayBegin(m, p)) continue;
+            p.standby = false;
             p.startSentIn = r.sequence();
             orders.add(new Order(Order.Verb.START, p.name(), p.attempt, 0));
         }
@@ -278,6 +285,26 @@
         return orders;
     }
 
+    /** Whether what a standby waited for has ended. */
+    private static boolean mayBegin(Machine m, Placement p) {
+        return m.type != null && m.strays.isEmpty() && p.job.spec.need().fitsIn(m.type.size().minus(m.used()));
+    }
+
+    /** Standbys whose room has come free become ordinary placements; those that waited too long are given up. */
+    public void reviewStandbys(double nowS) {
+        for (Machine m : machines.values()) {
+            for (Placement p : new ArrayList<>(m.placed.values())) {
+                if (!p.standby) continue;
+                if (mayBegin(m, p)) {
+                    p.standby = false;
+                } else if (nowS - p.sinceS > Constants.STANDBY_MAX_S) {
+                    drop(p); // its start never left
+                    p.job.touch(nowS, false);
+                }
+            }
+        }
+    }
+
     /** A newer report lacks an attempt: its start, if any, was dropped for good, since workers drop late answers. */
     private void absent(Machine m, Placement p, Report r, double nowS) {
         if (p.seen) {
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -74,13 +74,13 @@
 
     public Resources used() {
         Resources r = Resources.ZERO;
-        for (Placement p : placed.values()) r = r.plus(p.job.spec.need());
+        for (Placement p : placed.values()) if (!p.standby) r = r.plus(p.job.spec.need());
         return r;
     }
 
     public Resources stopping() {
         Resources r = Resources.ZERO;
-        for (Placement p : placed.values()) if (p.stopping) r = r.plus(p.job.spec.need());
+        for (Placement p : placed.values()) if (p.stopping && !p.standby) r = r.plus(p.job.spec.need());
         return r;
     }
 
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -68,7 +68,7 @@
             if (!s.need().fitsIn(n.machine.type.size())) continue;
             List<Placement> may = new ArrayList<>();
             for (Placement p : n.machine.placed.values()) {
-                if (!p.stopping && mayStop(s, due, p, usage)) may.add(p);
+                if (!p.stopping && !p.standby && mayStop(s, due, p, usage)) may.add(p);
             }
             may.sort(Comparator.comparingDouble(p -> loss(p, nowS)));
             Resources room = n.future();
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -313,6 +313,7 @@
         // Judging by silence needs a hold: otherwise another leader may be keeping the machines alive.
         if (!election.proven(now)) return;
         cluster.expireLeases(now);
+        cluster.reviewStandbys(now);
         scaler.drain(now);
         double epochS = System.currentTimeMillis() / 1000.0;
         Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS), now);
--- a/src/test/java/org/mountlug/core/ProofTest.java
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -137,6 +137,31 @@
         assertTrue(j.over());
     }
 
+    @Test
+    void aStandbyStartsInTheAnswerThatShowsItsRoomFreeAndNotBefore() {
+        Job big = Samples.live(c, Samples.spec("wk-000002", false, 2, m.type.size(), org.mountlug.core.model.Urgency.HIGH));
+        c.place(big, 0, ++big.attempts, m, 0);
+        big.touch(0, true);
+        Samples.persist(big);
+        beat(1, 2);
+        c.place(big, 1, ++big.attempts, m, 2).standby = true;
+        big.touch(2, true);
+        Samples.persist(big);
+        assertEquals(List.of(), beat(1, 3, item("wk-000002", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(List.of("START wk-000002/1#2"), beat(1, 4, item("wk-000002", 0, 1, TaskState.EXITED, Cause.DONE)));
+    }
+
+    @Test
+    void aStandbyThatWaitedTooLongGoesBackToItsQueue() {
+        Job big = Samples.live(c, Samples.spec("wk-000002", false, 2, m.type.size(), org.mountlug.core.model.Urgency.HIGH));
+        c.place(big, 0, ++big.attempts, m, 0);
+        c.place(big, 1, ++big.attempts, m, 0).standby = true;
+        c.reviewStandbys(5);
+        assertEquals(2, big.placed.size());
+        c.reviewStandbys(30);
+        assertEquals(1, big.placed.size());
+    }
+
     /** Found by a day of other luck: told cancelled, then the last task completed and the record said done. */
     @Test
     void aCancelledJobNeverEndsAsDone() {
