A new leader keeps knowing which machine has which image

Cause: after each change of leader every start fetched its image anew as far as placing knew; partitur has 12 s in all and its images take 6 to 18. Ruled out: placing itself, gangs are placed within 0-4 s on most occasions.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -41,6 +41,8 @@
     public static final int FLUSH_MS = 250;
     /** Milliseconds a change that nobody waits for (progress of a running array) may wait for company. */
     public static final int LAZY_FLUSH_MS = 2500;
+    /** Milliseconds between two notes of which machine has which image; a help for the next leader only. */
+    public static final int IMAGES_MS = 5000;
     /** Bytes of one transaction; the protocol allows 64 KiB with conditions and keys. */
     public static final int TXN_BYTES = 48 * 1024;
     /** Compare-and-set tries of one abort before the user is told to come back. */
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -50,6 +50,7 @@
     };
     /** By class: mean of actual over estimated run time, learnt from finished tasks. */
     private final Map<String, double[]> pace = new HashMap<>();
+    private final Map<String, List<String>> expected = new HashMap<>();
     private final List<String> notes = new ArrayList<>();
     /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole dear ones. */
     public final java.util.Set<String> spilling = new java.util.HashSet<>();
@@ -200,7 +201,7 @@
         Machine m = machines.get(r.machine());
         if (m == null) {
             m = new Machine(r.machine(), nowS);
-            machines.put(m.name, m);
+            added(m);
             note("found " + m.name + " " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""));
         }
         if (!r.newerThan(m.session, m.sequence)) return List.of(); // held back on its way: as old as its sequence
@@ -398,7 +399,7 @@
             if (m == null) {
                 m = new Machine(x.name(), nowS);
                 m.rentedS = nowS - x.ageS();
-                machines.put(x.name(), m);
+                added(m);
             }
             if (m.type == null) m.type = types.get(x.type());
             if (m.zone == null) m.zone = x.zone();
@@ -408,12 +409,26 @@
         return failed;
     }
 
+    /** Images that an earlier leader saw on a machine; used once the machine is heard of. */
+    public void expectImages(String machine, List<String> images) {
+        Machine m = machines.get(machine);
+        if (m != null) m.images.addAll(images);
+        else expected.put(machine, images);
+    }
+
+    private Machine added(Machine m) {
+        machines.put(m.name, m);
+        List<String> l = expected.remove(m.name);
+        if (l != null) m.images.addAll(l);
+        return m;
+    }
+
     public void rented(String name, String type, String zone, boolean spot, double nowS) {
         if (departed.containsKey(name) || machines.containsKey(name)) return;
         Machine m = new Machine(name, nowS);
         m.type = types.get(type);
         m.zone = zone;
         m.spot = spot;
-        machines.put(name, m);
+        added(m);
     }
 }
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -73,7 +73,9 @@
             may.sort(Comparator.comparingDouble(p -> loss(p, nowS)));
             Resources room = n.future();
             List<Placement> taken = new ArrayList<>();
-            double cost = 0;
+            // A start waits for its image too: a machine that has it is worth the loss of as much work.
+            double cost = n.machine.images.contains(s.image()) ? 0
+                    : s.imageGb() / Math.max(0.01, n.machine.type.fetchGbPerS());
             for (Placement p : may) {
                 if (s.need().fitsIn(room)) break;
                 room = room.plus(p.job.spec.need());
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -81,6 +81,8 @@
     private double nextListS;
     private double nextCatalogueS;
     private double nextFlushS;
+    private double nextImagesS;
+    private Map<String, Object> imagesWritten = Map.of();
 
     Leader(Settings settings, Operators operators, Election election, StateClient state, Http cloud,
            DoubleSupplier clockS, Aims aims, Collection<MachineType> types, FinalStates finals, Metrics metrics) {
@@ -151,6 +153,22 @@
                 reservationsWritten.put(id, l);
                 if (cluster.jobs.containsKey(id)) cluster.reservations.put(id, l);
             }
+            loadImages();
+        });
+    }
+
+    /** What the last leader knew of machines' images; without it every change of leader costs fetches. */
+    private void loadImages() {
+        state.get(RecordCodec.IMAGES, Constants.STATE_TIMEOUT_MS, a -> {
+            if (ended) return;
+            if (a.status() == 200) {
+                imagesWritten = Fields.map(a.body().get("v"));
+                for (Map.Entry<String, Object> e : imagesWritten.entrySet()) {
+                    if (e.getValue() instanceof List<?> l) {
+                        cluster.expectImages(e.getKey(), l.stream().map(String::valueOf).toList());
+                    }
+                }
+            }
             loaded = true;
             LOG.info("leading with token {}: {} live jobs, {} machines with tasks", cluster.token(),
                     cluster.jobs.size(), cluster.machines.size());
@@ -303,12 +321,25 @@
             nextRoundS = Math.max(nextRoundS + Constants.ROUND_MS / 1000.0, now + Constants.ROUND_MS / 2000.0);
             round(now);
         }
+        if (now >= nextImagesS) {
+            nextImagesS = now + Constants.IMAGES_MS / 1000.0;
+            writeImages(now);
+        }
         if (now >= nextFlushS) {
             nextFlushS = now + Constants.FLUSH_MS / 1000.0;
             flush(now);
         }
     }
 
+    private void writeImages(double now) {
+        Map<String, Object> v = RecordCodec.images(cluster.machines.values(),
+                (int) (settings.valueKb() * 1024 * Constants.VALUE_FILL));
+        if (v.equals(imagesWritten) || !election.proven(now) || !writes.take(now, 1)) return;
+        state.commit(new Change().guard(RecordCodec.LEADER, cluster.token()).put(RecordCodec.IMAGES, v), a -> {
+            if (a.status() == 200) imagesWritten = v;
+        });
+    }
+
     private void round(double now) {
         // Judging by silence needs a hold: otherwise another leader may be keeping the machines alive.
         if (!election.proven(now)) return;
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -1,5 +1,6 @@
 package org.mountlug.store;
 
+import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Placement;
@@ -24,6 +25,9 @@
     public static final String RESERVED = "r/";
     public static final String LEADER = "leader";
     public static final String CATALOGUE = "catalogue";
+    public static final String IMAGES = "images";
+    /** Images told of one machine, the latest. */
+    private static final int IMAGES_MOST = 8;
 
     private RecordCodec() {}
 
@@ -156,6 +160,24 @@
         return m;
     }
 
+    // ---- images -----------------------------------------------------------------------------------------------
+
+    /** Which machines should have which images: a help for placing, cut off where it would pass the value limit. */
+    public static Map<String, Object> images(Iterable<Machine> machines, int mostChars) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        int size = 0;
+        for (Machine x : machines) {
+            if (x.images.isEmpty()) continue;
+            List<String> l = new ArrayList<>(x.images);
+            if (l.size() > IMAGES_MOST) l = l.subList(l.size() - IMAGES_MOST, l.size());
+            for (String s : l) size += s.length() + 3;
+            size += x.name.length() + 6;
+            if (size > mostChars) break;
+            m.put(x.name, l);
+        }
+        return m;
+    }
+
     // ---- reservations -----------------------------------------------------------------------------------------
 
     public static Map<String, Object> reservations(List<Reservation> l) {
--- a/src/test/java/org/mountlug/core/ProofTest.java
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -162,6 +162,12 @@
         assertEquals(1, big.placed.size());
     }
 
+    @Test
+    void imagesOfAnEarlierTermAreExpectedOnceTheMachineIsHeardOf() {
+        c.expectImages("n-5", List.of("img"));
+        assertEquals(java.util.Set.of("img"), Samples.up(c, "n-5", "small", "a").images);
+    }
+
     /** Found by a day of other luck: told cancelled, then the last task completed and the record said done. */
     @Test
     void aCancelledJobNeverEndsAsDone() {
