Spilling work that packs badly on cheap machines takes them last

Cause: half of balance-sim's jobs need a little more than half a meerkat, so one task blocks it, while dear machines hold them well.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -86,6 +86,8 @@
     public static final double STANDBY_AHEAD_S = 4;
     /** Seconds after which a task that waits for such room goes back to its queue. */
     public static final double STANDBY_MAX_S = 10;
+    /** Share of a cheap machine that a job's tasks must be able to fill to be served there in its turn. */
+    public static final double PACKS_BADLY = 0.7;
     /** Seconds within which a machine must be expected to come free to be held for a gang. */
     public static final double HOLD_MAX_S = 60;
     /** Tasks of one waiting accelerator job for which machines are kept from spilled work. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -4,6 +4,7 @@
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
+import org.mountlug.core.model.MachineType;
 import org.mountlug.core.model.Placement;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.core.model.Resources;
@@ -82,6 +83,7 @@
         serve(pending);
         hold(pending);
         spill(pending);
+        for (Job j : pending) if (!j.spec.gang() && j.open() > 0 && packsBadly(j)) array(j, false);
         standby(pending);
         return placedCount;
     }
@@ -236,11 +238,25 @@
         }
     }
 
+    /**
+     * Spilling work of which a cheap machine would hold so few tasks that much of it stays empty: it gets the cheap
+     * machines last, as it has the dear ones, while what fills the cheap machines has only those.
+     */
+    private boolean packsBadly(Job j) {
+        if (!cluster.spilling.contains(j.spec.id())) return false;
+        double best = 0;
+        for (MachineType t : cluster.types()) {
+            if (t.size().gpus() > 0 || !j.spec.allows(t)) continue;
+            best = Math.max(best, j.spec.need().countIn(t.size()) * j.spec.need().shareOf(t.size()));
+        }
+        return best < Constants.PACKS_BADLY;
+    }
+
     private void serve(List<Job> jobs) {
         TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole);
         for (Job j = q.next(); j != null; j = q.next()) {
             if (j.spec.gang()) gang(j);
-            else array(j, false);
+            else if (!packsBadly(j)) array(j, false);
         }
     }
 
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -92,7 +92,7 @@
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, 256 * 1024L)
+                .set(Options.STACK_SIZE, 1024 * 1024L)
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
         io = worker.getIoThread();
