Small tasks beside accelerator work stay out of a pre-empting gang's way

Cause: a korrektur task of 4 CPUs beside two stamma tasks made it impossible to pre-empt them for partitur, which needs 21 of 24 CPUs.

--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -39,7 +39,7 @@
         Resources w = Resources.ZERO;
         for (Machine m : cluster.machines.values()) {
             if (!m.usable()) continue;
-            nodes.put(m.name, new Node(m));
+            nodes.put(m.name, new Node(m, cluster.companions(m.type)));
             w = w.plus(m.type.size());
         }
         whole = w;
--- a/src/main/java/org/mountlug/core/allocate/Node.java
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -1,6 +1,7 @@
 package org.mountlug.core.allocate;
 
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Placement;
 import org.mountlug.core.model.Resources;
 
 /** A machine as one round sees it: statements change this view, and only a commit reaches the cluster. */
@@ -9,8 +10,18 @@
     public Resources idle;
     public Resources releasing;
     public Resources pipelined = Resources.ZERO;
+    /** What this round has given to work without accelerators. */
+    public Resources taken = Resources.ZERO;
+
+    /** What a whole machine's worth of accelerator work needs beside the accelerators, of the neediest class seen. */
+    private final Resources companions;
 
     public Node(Machine m) {
+        this(m, Resources.ZERO);
+    }
+
+    public Node(Machine m, Resources companions) {
+        this.companions = companions;
         machine = m;
         Resources size = m.type == null ? Resources.ZERO : m.type.size();
         // A stray's size may be unknown; nothing is placed beside one until it is gone.
@@ -45,6 +56,13 @@
         if (!spilled && need.gpus() == 0 && size.gpus() > 0) {
             double part = Math.max(0, room.gpus()) / size.gpus();
             room = room.minus(new Resources(size.cpus() * part, 0, size.ramGb() * part));
+            // What runs beside accelerator work must not be in the way of a gang that could take its place.
+            Resources beside = size.minus(companions);
+            for (Placement p : machine.placed.values()) {
+                if (p.job.spec.need().gpus() == 0 && !p.standby) beside = beside.minus(p.job.spec.need());
+            }
+            beside = beside.minus(new Resources(taken.cpus(), 0, taken.ramGb()));
+            room = new Resources(Math.min(room.cpus(), beside.cpus()), room.gpus(), Math.min(room.ramGb(), beside.ramGb()));
         }
         return need.countIn(room);
     }
--- a/src/main/java/org/mountlug/core/allocate/Statement.java
+++ b/src/main/java/org/mountlug/core/allocate/Statement.java
@@ -23,6 +23,7 @@
 
     public void allocate(int task, Node n) {
         n.idle = n.idle.minus(job.spec.need());
+        if (job.spec.need().gpus() == 0) n.taken = n.taken.plus(job.spec.need());
         ops.add(new Op(task, n, false));
     }
 
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -5,6 +5,7 @@
 import org.mountlug.Constants;
 import org.mountlug.core.model.Cause;
 import org.mountlug.core.model.Job;
+import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.MachineType;
 import org.mountlug.core.model.Order;
 import org.mountlug.core.model.Placement;
@@ -13,6 +14,7 @@
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.TaskState;
 import org.mountlug.core.model.Team;
+import org.mountlug.core.model.Urgency;
 import org.mountlug.core.scale.Listed;
 
 import java.util.ArrayList;
@@ -50,6 +52,8 @@
     };
     /** By class: mean of actual over estimated run time, learnt from finished tasks. */
     private final Map<String, double[]> pace = new HashMap<>();
+    /** By class: the neediest accelerator job seen in this term. */
+    private final Map<String, JobSpec> acceleratorNeeds = new HashMap<>();
     private final Map<String, List<String>> expected = new HashMap<>();
     private final List<String> notes = new ArrayList<>();
     /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole dear ones. */
@@ -125,6 +129,24 @@
         return Math.max(1, j.spec.expectedS() * Math.min(3, Math.max(0.3, f)));
     }
 
+    /**
+     * What accelerator work needs of this type beside the accelerators when it fills it, of the neediest class that may
+     * take the place of another. Where none may, what runs beside is in nobody's way.
+     */
+    public Resources companions(MachineType t) {
+        Resources r = Resources.ZERO;
+        if (t.size().gpus() <= 0) return r;
+        Urgency least = Urgency.PROD;
+        for (JobSpec s : acceleratorNeeds.values()) if (s.urgency().compareTo(least) < 0) least = s.urgency();
+        for (JobSpec s : acceleratorNeeds.values()) {
+            Resources n = s.need();
+            if (!n.fitsIn(t.size()) || s.urgency().compareTo(least) <= 0) continue;
+            double k = n.countIn(t.size());
+            r = new Resources(Math.max(r.cpus(), n.cpus() * k), 0, Math.max(r.ramGb(), n.ramGb() * k));
+        }
+        return r;
+    }
+
     // ---- records ----------------------------------------------------------------------------------------------
 
     /** Takes in a job as the state service has it, at the start of a term or when a user submitted it. */
@@ -132,6 +154,10 @@
         Long over = finished.get(j.spec.id());
         if (over != null && j.stamp <= over) return;
         jobs.put(j.spec.id(), j);
+        if (j.spec.need().gpus() > 0) {
+            acceleratorNeeds.merge(j.spec.lane(), j.spec,
+                    (a, b) -> a.need().cpus() >= b.need().cpus() ? a : b);
+        }
         for (Placement p : j.placed.values()) {
             Machine m = machines.get(p.machine);
             if (m == null) {
