Rentals keep to the cloud's budget, records scale with the value limit; scaler tables

Cause: in an outage of the cloud's interface each round asked anew, beyond the budget; a smaller value limit would have refused the records of wide arrays.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -77,6 +77,8 @@
     public static final int SICK_FAILURES = 2;
     /** Placed tasks of one job; more, in the worst pattern of gaps, would not fit its record into 8 KiB. */
     public static final int ACTIVE_MAX = 200;
+    /** KiB of a value for which {@link #ACTIVE_MAX} is reckoned; other limits scale it. */
+    public static final double ACTIVE_MAX_KIB = 8;
     /** Seconds of warning that the pre-emption of a saving task gets beyond its own saving time. */
     public static final double SAVE_GRACE_S = 1.0;
     /** Seconds after a stop order in which nothing else is stopped for the same job. */
@@ -106,6 +108,10 @@
     public static final int CATALOGUE_MS = 60_000;
     /** Milliseconds a cloud call may take. */
     public static final int CLOUD_TIMEOUT_MS = 4000;
+    /** Share of the cloud's calls that rentals may use; lists, returns and the catalogue need the rest. */
+    public static final double RENT_CALL_SHARE = 0.6;
+    /** Seconds without rentals after the cloud's interface was in trouble. */
+    public static final double CLOUD_TROUBLE_S = 2;
     /** Seconds for which an exhausted kind of machine (type, zone, spot) is not asked for again. */
     public static final double NO_CAPACITY_S = 15.0;
     /** Multiple of the nominal boot time after which a machine counts as never coming up; usual is up to 1.5. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -214,7 +214,7 @@
     private void standby(Job j, Map<Node, Resources> soon) {
         Resources need = j.spec.need();
         Team team = cluster.team(j.spec.team());
-        int budget = Constants.ACTIVE_MAX - j.placed.size();
+        int budget = cluster.activeMax() - j.placed.size();
         int task = j.done.nextClearBit(0);
         boolean any = false;
         for (Map.Entry<Node, Resources> e : soon.entrySet()) {
@@ -401,7 +401,7 @@
         Resources need = j.spec.need();
         Team team = cluster.team(j.spec.team());
         Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
-        int budget = Constants.ACTIVE_MAX - j.placed.size();
+        int budget = cluster.activeMax() - j.placed.size();
         if (budget <= 0) return;
         List<Node> fit = new ArrayList<>();
         for (Node n : nodes.values()) {
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -54,6 +54,7 @@
     private final Map<String, double[]> pace = new HashMap<>();
     /** By class: the neediest accelerator job seen in this term. */
     private final Map<String, JobSpec> acceleratorNeeds = new HashMap<>();
+    private int activeMax = Constants.ACTIVE_MAX;
     private final Map<String, List<String>> expected = new HashMap<>();
     private final List<String> notes = new ArrayList<>();
     /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole dear ones. */
@@ -65,6 +66,15 @@
         for (Team t : teams) this.teams.put(t.name(), t);
     }
 
+    /** Placed tasks of one job that its record can hold, by the value limit in KiB. */
+    public void valueLimit(double kib) {
+        activeMax = (int) Math.max(1, Constants.ACTIVE_MAX * kib / Constants.ACTIVE_MAX_KIB);
+    }
+
+    public int activeMax() {
+        return activeMax;
+    }
+
     public long token() {
         return token;
     }
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -75,6 +75,8 @@
     private final ArrayDeque<Rental> rentals = new ArrayDeque<>();
     private boolean renting;
     private int rentTries;
+    private double rentAgainS;
+    private final Budget cloudCalls;
     private boolean returning;
     private boolean listing;
     private double nextRoundS;
@@ -96,10 +98,13 @@
         this.metrics = metrics;
         cluster = new Cluster(election.token(), settings.leaseS(), settings.teams());
         cluster.catalogue(types);
+        cluster.valueLimit(settings.valueKb());
         scaler = new Scaler(cluster, aims, settings.leaseS(), operators.idleKeepS(), operators.spotRisk());
         preemptor = new Preemptor(cluster);
         double w = settings.stateWriteRps() * Constants.LEADER_WRITE_SHARE;
         writes = new Budget(w, w);
+        cloudCalls = new Budget(settings.cloudRps() * Constants.RENT_CALL_SHARE,
+                settings.cloudRps() * Constants.RENT_CALL_SHARE);
         viewS = clockS.getAsDouble();
         load(null, true);
     }
@@ -355,7 +360,8 @@
         unplaced.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, j.spec.expectedS())));
         preemptor.round(unplaced, round.nodes(), round.usage(), now);
-        if (rentals.isEmpty() && !renting) {
+        if (now < rentAgainS) rentals.clear();
+        if (rentals.isEmpty() && !renting && now >= rentAgainS) {
             rentals.addAll(scaler.rentals(now, epochS));
             rent();
         }
@@ -562,6 +568,10 @@
     private void rent() {
         Rental r = rentals.peek();
         if (r == null || renting || ended) return;
+        if (!cloudCalls.take(clockS.getAsDouble(), 1)) {
+            later(this::rent, 250);
+            return;
+        }
         renting = true;
         cloud.call(Methods.POST, "/hosts", CloudCodec.rent(r), Constants.CLOUD_TIMEOUT_MS, a -> {
             renting = false;
@@ -579,6 +589,7 @@
             } else if (a.status() == 503 || a.status() == 429) {
                 LOG.info("no {} in {}{}: {}", r.type(), r.zone(), r.spot() ? " spot" : "", a.body().get("error"));
                 if (!"trouble".equals(a.body().get("error")) && a.status() == 503) scaler.refused(r, now);
+                else rentAgainS = now + Constants.CLOUD_TROUBLE_S; // the whole interface is down or we ask too much
             }
             rentTries = 0;
             rentals.poll();
--- /dev/null
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -0,0 +1,95 @@
+package org.mountlug.core;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.Samples;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Aims;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+import org.mountlug.core.model.Urgency;
+import org.mountlug.core.scale.Rental;
+import org.mountlug.core.scale.Scaler;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What is rented and returned. */
+class ScalerTest {
+    private static final double KEEP = 20;
+    private final Cluster c = Samples.cluster(new Team("t", 0, 40, 0, 0, 1));
+    private final Scaler s = new Scaler(c, new Aims(), 10, KEEP, 1.15);
+
+    @Test
+    void workThatWaitsRentsTheCheapestKindAndNamesNeverRepeat() {
+        Samples.live(c, Samples.array("wk-000001", 4));
+        Set<String> names = new HashSet<>();
+        for (int n = 0; n < 3; n++) for (Rental r : s.rentals(n, 0)) {
+            assertEquals("small", r.type());
+            assertTrue(r.spot());
+            assertTrue(names.add(r.name()));
+        }
+        assertFalse(names.isEmpty());
+    }
+
+    @Test
+    void machinesThatBootAreCountedOn() {
+        Samples.live(c, Samples.array("wk-000001", 4));
+        int n = 0;
+        for (Rental r : s.rentals(0, 0)) for (int i = 0; i < r.count(); i++) c.rented("n-" + n++, r.type(), r.zone(), r.spot(), 0);
+        assertTrue(n > 0);
+        assertEquals(List.of(), s.rentals(1, 1));
+    }
+
+    @Test
+    void nothingIsRentedBeyondATeamsLimit() {
+        Samples.live(c, Samples.spec("wk-000001", false, 1, new Resources(50, 0, 1), Urgency.HIGH));
+        assertEquals(List.of(), s.rentals(0, 0));
+    }
+
+    @Test
+    void aRefusedKindIsLeftAloneForAWhile() {
+        Samples.live(c, Samples.array("wk-000001", 2));
+        Rental r = s.rentals(0, 0).get(0);
+        s.refused(r, 0);
+        for (Rental again : s.rentals(1, 1)) {
+            assertFalse(again.type().equals(r.type()) && again.zone().equals(r.zone()) && again.spot() == r.spot());
+        }
+    }
+
+    @ParameterizedTest(name = "idle {0} s, spare {1}: returned {2}")
+    @CsvSource({"10, true, false", "30, true, false", "60, true, true"})
+    void theLastIdleMachineOfATypeIsKeptLonger(double idle, boolean spare, boolean gone) {
+        Machine m = Samples.up(c, "n-1", "small", "a");
+        m.heardS = idle;
+        assertEquals(gone, s.returns(idle).contains("n-1"));
+    }
+
+    @Test
+    void aMachineThatNeverComesUpIsReturned() {
+        c.rented("n-1", "small", "a", false, 0);
+        assertEquals(List.of(), s.returns(60));
+        assertEquals(List.of("n-1"), s.returns(120));
+    }
+
+    @Test
+    void oneSilentMachineIsReturnedButNotWhenMostAreSilent() {
+        for (int i = 0; i < 5; i++) Samples.up(c, "n-" + i, "small", "a");
+        Job j = Samples.live(c, Samples.array("wk-000001", 5));
+        int t = 0;
+        for (Machine m : c.machines.values()) c.place(j, t++, 1, m, 0);
+        for (Machine m : c.machines.values()) m.heardS = m.name.equals("n-3") ? 0 : 30;
+        assertEquals(List.of("n-3"), s.returns(30));
+        for (Machine m : c.machines.values()) m.heardS = 0;
+        c.machines.get("n-3").releasing = false;
+        assertEquals(List.of(), s.returns(31));
+    }
+}
