--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -27,6 +27,8 @@
     public static final int POLL_TIMEOUT_MS = 1200;
     /** Milliseconds a watch stays open; rare enough to cost next to nothing of the request budget. */
     public static final int WATCH_BLOCK_MS = 10_000;
+    /** Milliseconds between a follower's openings of its watch on reservations, which nothing waits for. */
+    public static final int RESERVATIONS_PAUSE_MS = 2000;
     /** Milliseconds between two openings of a watch: a leader's own changes wake its watch, this bounds the echo. */
     public static final int WATCH_PAUSE_MS = 250;
     /** Share of the change budget that the leader's flush may use; the rest is for submissions and aborts. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -32,9 +32,11 @@
 import org.xnio.XnioWorker;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -68,6 +70,10 @@
     private Peers peers;
     private double nextPeerS;
     private final long boot;
+    private final Set<String> reserved = new HashSet<>();
+    private long reservationsFrom = -1;
+    private boolean watchingReservations;
+    private double nextReservationsS;
 
     public Controller(Settings settings, Operators operators) {
         this.settings = settings;
@@ -138,6 +144,7 @@
         try {
             lead();
             watchLeader();
+            watchReservations();
             types();
             if (leader != null) leader.tick();
             double now = clockS();
@@ -229,6 +236,43 @@
         });
     }
 
+    // ---- reservations -----------------------------------------------------------------------------------------
+
+    /**
+     * Followers watch the reservations, as the design has it, so that every node can tell what is held for whom. A new
+     * leader still reads them itself before its first round: what a watch last said may be behind.
+     */
+    private void watchReservations() {
+        double now = clockS();
+        if (watchingReservations || election.leading() || election.leader() == null || now < nextReservationsS) return;
+        watchingReservations = true;
+        nextReservationsS = now + Constants.RESERVATIONS_PAUSE_MS / 1000.0;
+        if (reservationsFrom < 0) {
+            state.list(RecordCodec.RESERVED, null, a -> {
+                watchingReservations = false;
+                if (a.status() != 200) return;
+                reserved.clear();
+                for (Object o : Fields.list(a.body(), "rows")) reserved.add(Fields.str(Fields.map(o), "k"));
+                reservationsFrom = Fields.num(a.body(), "epoch", 0);
+                metrics.reserved(reserved.size());
+            });
+            return;
+        }
+        state.watch(RecordCodec.RESERVED, reservationsFrom, Constants.WATCH_BLOCK_MS, a -> {
+            watchingReservations = false;
+            if (a.status() == 410) reservationsFrom = -1;
+            if (a.status() != 200) return;
+            reservationsFrom = Math.max(reservationsFrom, Fields.num(a.body(), "epoch", 0));
+            for (Object o : Fields.list(a.body(), "news")) {
+                Map<String, Object> e = Fields.map(o);
+                String put = Fields.str(e, "put");
+                if (put != null) reserved.add(put);
+                else reserved.remove(Fields.str(e, "delete"));
+            }
+            metrics.reserved(reserved.size());
+        });
+    }
+
     // ---- peers ------------------------------------------------------------------------------------------------
 
     private PeerCodec.Answer tellPeer(long serial) {
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -367,6 +367,7 @@
         }
         if (!returning) release(scaler.returns(now));
         for (String s : cluster.takeNotes()) LOG.info("{}", s);
+        metrics.reserved(cluster.reservations.size());
         metrics.fleet(cluster.jobs.size(), cluster.machines.size());
     }
 
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -19,6 +19,7 @@
     private final AtomicLong submissions = new AtomicLong();
     private final AtomicInteger jobs = new AtomicInteger();
     private final AtomicInteger machines = new AtomicInteger();
+    private final AtomicInteger reservations = new AtomicInteger();
     private final AtomicInteger leading = new AtomicInteger();
     private PrometheusMeterRegistry registry;
 
@@ -43,6 +44,10 @@
         machines.set(knownMachines);
     }
 
+    public void reserved(int gangs) {
+        reservations.set(gangs);
+    }
+
     public void leading(boolean is) {
         leading.set(is ? 1 : 0);
     }
@@ -57,6 +62,7 @@
             counter("mountlug.submissions", submissions);
             Gauge.builder("mountlug.jobs.live", jobs, AtomicInteger::get).register(registry);
             Gauge.builder("mountlug.machines", machines, AtomicInteger::get).register(registry);
+            Gauge.builder("mountlug.reservations", reservations, AtomicInteger::get).register(registry);
             Gauge.builder("mountlug.leading", leading, AtomicInteger::get).register(registry);
         }
         return registry.scrape();
