--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -172,6 +172,11 @@
     public static final int RELEASE_MAX = 100;
 
     // ---- node -------------------------------------------------------------------------------------------------
+    /**
+     * Seconds between two turns after which the process has stood still: far more than a slow round takes, and less
+     * than a hold or a peer's patience lasts.
+     */
+    public static final double STANDSTILL_S = 2.0;
     /** Milliseconds between turns of a node's clock; everything periodic is a multiple of it. */
     public static final int TICK_MS = 100;
 
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -78,6 +78,29 @@
         for (Team t : teams) this.teams.put(t.name(), t);
     }
 
+    /** Steady seconds since which we hear at all: a silence before is ours, not the machines'. */
+    private double hearingS = Double.NEGATIVE_INFINITY;
+
+    /** This process stood still until now. */
+    public void woke(double nowS) {
+        hearingS = nowS;
+    }
+
+    /** Seconds since the machine was last heard of, or since we could have heard it. */
+    public double silentS(Machine m, double nowS) {
+        return nowS - Math.max(m.heardS, hearingS);
+    }
+
+    /** Seconds since which it has not been both synced and hearing, as far as we could tell; NaN while it is. */
+    public double unheardS(Machine m, double nowS) {
+        return nowS - Math.max(m.unheardSinceS, hearingS);
+    }
+
+    /** Seconds since we could have heard of a machine's coming up. */
+    public double hearingFor(double nowS) {
+        return nowS - hearingS;
+    }
+
     /** Tells how many KiB a record may have. */
     public void valueLimit(double kib) {
         recordChars = kib * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -101,7 +101,7 @@
         List<Vessel> vessels = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS)) continue;
-            boolean silent = m.up && nowS - m.heardS > leaseS;
+            boolean silent = m.up && cluster.silentS(m, nowS) > leaseS;
             // A silent machine that the cloud still lists is likely cut off, and back before a new one is up.
             if (silent && (m.unlisted || Double.isNaN(m.listedS) || silentZones.contains(m.zone))) continue;
             if (m.up && !silent && m.deaf) continue;
@@ -228,7 +228,7 @@
             if (!m.up || m.unlisted || m.zone == null) continue;
             int[] n = zones.computeIfAbsent(m.zone, z -> new int[2]);
             n[0]++;
-            if (nowS - m.heardS > leaseS) n[1]++;
+            if (cluster.silentS(m, nowS) > leaseS) n[1]++;
         }
         Set<String> out = new HashSet<>();
         zones.forEach((z, n) -> {
@@ -239,7 +239,7 @@
 
     /** Its reports come, but answers have had no effect for so long that all it ran has lost its lease. */
     private boolean hearsNothing(Machine m, double nowS) {
-        return m.up && nowS - m.unheardSinceS > Constants.UNHEARD_LEASES * leaseS;
+        return m.up && cluster.unheardS(m, nowS) > Constants.UNHEARD_LEASES * leaseS;
     }
 
     /** Machines to return now: idle, condemned, never up, or silent beyond their lease. Marks them. */
@@ -253,7 +253,7 @@
         for (Machine m : cluster.machines.values()) {
             if (!m.up && m.placed.isEmpty() || m.unlisted) continue;
             up++;
-            if (nowS - m.heardS > quiet || hearsNothing(m, nowS)) silent++;
+            if (cluster.silentS(m, nowS) > quiet || hearsNothing(m, nowS)) silent++;
         }
         // When most are silent it is more likely us who cannot hear.
         boolean trustSilence = silent * 2 <= up || up <= 2;
@@ -276,14 +276,14 @@
             double boot = known ? m.type.bootS() : 60;
             if (!m.up && m.placed.isEmpty()) {
                 double since = Math.max(nowS - m.rentedS, 0);
-                if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S) why = "never came up";
-            } else if (m.unlisted && nowS - m.heardS > leaseS / 2) {
+                if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S && cluster.hearingFor(nowS) > leaseS) why = "never came up";
+            } else if (m.unlisted && cluster.silentS(m, nowS) > leaseS / 2) {
                 why = "taken";
-            } else if (nowS - m.heardS > quiet) {
+            } else if (cluster.silentS(m, nowS) > quiet) {
                 // One that the cloud still lists is worth waiting for as long as a new one would take to come up.
                 double more = silentZones.contains(m.zone) ? Constants.SILENT_ZONE_S
                         : Double.isNaN(m.listedS) ? 0 : boot - Constants.SILENT_RELEASE_S;
-                if (trustSilence && nowS - m.heardS > quiet + more) why = "silent";
+                if (trustSilence && cluster.silentS(m, nowS) > quiet + more) why = "silent";
             } else if (hearsNothing(m, nowS)) {
                 if (trustSilence) why = "hears nothing";
             } else if (m.sick && m.placed.isEmpty()) {
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -66,6 +66,12 @@
     private long reservationsFrom = -1;
     private boolean watchingReservations;
     private double nextReservationsS;
+    /** Steady seconds of the last turn, by which a standstill of the whole process shows. */
+    private double lastTurnS;
+    /** Steady seconds of the last waking from a standstill. */
+    private double wokeS = Double.NEGATIVE_INFINITY;
+    /** Whether nothing since the last waking has shown that we still lead. */
+    private boolean doubtful;
 
     /**
      * @param timer runs something after so many milliseconds, on the thread that everything else of this node runs on
@@ -84,6 +90,7 @@
         this.random = random;
         this.boot = random.nextLong();
         this.startedS = clockS.getAsDouble();
+        this.lastTurnS = startedS;
         this.election = new Election(settings.label(), Long.toHexString(boot));
         this.peerView = new PeerView(settings.others().stream().map(Settings.Peer::label).toList(),
                 Constants.ABORT_MEMORY_S);
@@ -100,6 +107,8 @@
 
     /** To be called about ten times a second. */
     public void tick() {
+        noticeStandstill();
+        lastTurnS = clockS.getAsDouble();
         String l = election.leader();
         if (l != null && !election.leading() && peerView.ended(l, clockS.getAsDouble())) {
             LOG.info("{} has ended, by its refusals and the others' answers", l);
@@ -112,6 +121,28 @@
         if (leader != null) leader.tick();
     }
 
+    /**
+     * A process may stand still for seconds while its clocks run on. What it believed before may be over by then, and
+     * the silence was its own. A request that waited in a socket may be read before the first turn, so both look.
+     */
+    private void noticeStandstill() {
+        double now = clockS.getAsDouble();
+        double gap = now - lastTurnS;
+        if (gap <= Constants.STANDSTILL_S) return;
+        if (!doubtful || now - wokeS > Constants.STANDSTILL_S) {
+            LOG.info("stood still for {} s", Math.round(gap * 10) / 10.0);
+        }
+        wokeS = now;
+        doubtful = true;
+        if (leader != null) leader.cluster().woke(now);
+    }
+
+    /** Whether we may answer workers: after waking only once a renewal, or every peer, shows that nobody else leads. */
+    private boolean trusted(double now) {
+        if (doubtful && (election.proven(now) || peerView.allAnsweredSince(wokeS))) doubtful = false;
+        return !doubtful;
+    }
+
     // ---- leadership -------------------------------------------------------------------------------------------
 
     /** When to campaign, as a part of the spread. */
@@ -356,7 +387,9 @@
             String l = election.leader();
             return new Beat.Elsewhere(settings.label().equals(l) ? null : l);
         }
-        if (!leader.mayRenew(clockS.getAsDouble()) || leader.unanswerable(r.machine())) return new Beat.Blind();
+        noticeStandstill();
+        double now = clockS.getAsDouble();
+        if (!trusted(now) || !leader.mayRenew(now) || leader.unanswerable(r.machine())) return new Beat.Blind();
         List<Order> orders = leader.report(r);
         if (orders == null) {
             LOG.info("deposed: {} knows token {}", r.machine(), r.token());
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -65,6 +65,15 @@
         return Math.max(viewS, until);
     }
 
+    /** Whether every peer has answered a question that was asked since then. */
+    public synchronized boolean allAnsweredSince(double sinceS) {
+        for (String p : peers) {
+            Known k = known.get(p);
+            if (k == null || k.untilS() < sinceS) return false;
+        }
+        return true;
+    }
+
     /** A connection to the peer was refused: nobody listens there, or a filter stands between. */
     public synchronized void refused(String peer, double nowS) {
         Refusal r = refusals.get(peer);
--- a/src/main/java/org/mountlug/peer/Peers.java
+++ b/src/main/java/org/mountlug/peer/Peers.java
@@ -215,6 +215,8 @@
             PeerCodec.Answer a = PeerCodec.answer(f);
             if (a.serial() != waitingFor) return;
             waitingFor = 0;
+            // What waited in the socket while we stood still tells nothing of now.
+            if (clockS.getAsDouble() - sinceS > Constants.PEER_TIMEOUT_MS / 1000.0) return;
             heard.accept(label, new Heard(sinceS, a));
         }
     }
--- a/src/main/java/org/mountlug/wire/Http.java
+++ b/src/main/java/org/mountlug/wire/Http.java
@@ -70,7 +70,7 @@
     /** Must be called on the I/O thread, on which {@code then} runs as well. */
     @Override
     public void call(HttpString method, String path, Map<String, Object> body, int timeoutMs, Consumer<Answer> then) {
-        Call c = new Call(method, path, body == null ? null : Cbor.write(body), then);
+        Call c = new Call(method, path, body == null ? null : Cbor.write(body), timeoutMs, then);
         c.timer = thread.executeAfter(c::timeout, timeoutMs, TimeUnit.MILLISECONDS);
         start(c);
     }
@@ -135,13 +135,16 @@
         final String path;
         final byte[] body;
         final Consumer<Answer> then;
+        /** When it is given up; the timer may fire late. */
+        final long dueNs;
         XnioExecutor.Key timer;
         ClientConnection connection;
         boolean connecting;
         boolean over;
         ByteArrayOutputStream in;
 
-        Call(HttpString method, String path, byte[] body, Consumer<Answer> then) {
+        Call(HttpString method, String path, byte[] body, int timeoutMs, Consumer<Answer> then) {
+            this.dueNs = System.nanoTime() + timeoutMs * 1_000_000L;
             this.method = method;
             this.path = path;
             this.body = body;
@@ -255,6 +258,10 @@
                 lost();
                 return;
             }
+            if (System.nanoTime() - dueNs > 0) {
+                lost(); // it waited in the socket while this process stood still: as old as if it had been given up
+                return;
+            }
             int status = x.getResponse().getResponseCode();
             Map<String, Object> m = Map.of();
             byte[] raw = in.toByteArray();
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -394,6 +394,64 @@
         allDone(w, 1, 1, 60);
     }
 
+    /**
+     * A leader stands still while its clocks run on, just between a decision and its sending or at any other time: on
+     * waking it does not act on what it believed before, and what leaves it late does no harm.
+     */
+    @ParameterizedTest(name = "for {0} s at {1}, aborted {2}")
+    @CsvSource({"3, any, false", "6, any, true", "14, any, true", "28, any, false", "6, /commands, true",
+            "9, /commands, false", "28, /commands, true", "6, /multi, true", "28, /multi, false", "12, /holds, true",
+            "28, /holds, false"})
+    void aLeaderThatStoodStillDoesNoHarm(double forS, String at, boolean aborted) {
+        World w = new World(3);
+        w.runS = 12;
+        jobs(w, 1, 6);
+        w.run(10);
+        World.Node old = w.leader();
+        old.freezeForS = forS;
+        if (at.equals("any")) old.freeze(forS);
+        else old.freezeAt = at;
+        List<World.Node> others = w.nodes.stream().filter(n -> n != old).toList();
+        for (int i = 20; i < 24; i++) assertEquals(201, others.get(0).submit(id(i), 5, i % 2 == 0).get("code"));
+        assertTrue(w.until(8, () -> old.frozenUntil > 0));
+        w.run(1);
+        World.Node other = others.get(1);
+        if (aborted) for (int i = 20; i < 22; i++) assertEquals("withdrawn", other.abort(id(i)).get("status"));
+        w.run(Math.max(0, old.frozenUntil - w.now - 0.001));
+        // The first that it reads on waking is what waited in its sockets.
+        if (forS > 4) {
+            w.now = old.frozenUntil;
+            for (World.Worker k : w.workers.values()) {
+                assertFalse(old.controller.beat(k.report()) instanceof Controller.Beat.Orders, "no answer on old belief");
+            }
+        }
+        w.run(40);
+        for (int i = 20; i < 22; i++) if (aborted) assertEquals("withdrawn", w.status(id(i), ANSWERED_S));
+        allDone(w, 1, 6, 200);
+        allDone(w, aborted ? 22 : 20, aborted ? 2 : 4, 200);
+    }
+
+    /** Machines hang and go on: within the lease the tasks are alive, after it the session is another. */
+    @ParameterizedTest(name = "for {0} s, gang {1}, new leader {2}")
+    @CsvSource({"5, false, false", "5, true, false", "8, false, true", "14, false, false", "14, true, false",
+            "14, false, true", "30, true, true"})
+    void machinesThatHangRunNothingTwice(double forS, boolean gang, boolean newLeader) {
+        World w = new World(3);
+        w.runS = 25;
+        w.accept(id(1), 12, gang);
+        assertTrue(w.until(60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 12));
+        w.run(3);
+        List<World.Worker> hung = new ArrayList<>(w.workers.values());
+        for (World.Worker k : hung) k.hangsUntil = w.now + forS;
+        w.run(1);
+        if (newLeader) w.leader().restartAfter(0.3);
+        allDone(w, 1, 1, 200);
+        int starts = w.workers.values().stream().mapToInt(k -> k.starts).sum();
+        if (forS < World.LEASE_S - 2.5 && !newLeader) assertEquals(12, starts, "nothing was given up");
+        w.run(60);
+        assertEquals(List.of(), w.broken());
+    }
+
     @Test
     void tokensGrowStrictlyFromTermToTerm() {
         World w = new World(3);
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -49,6 +49,8 @@
     /** Run time of every task, seconds. */
     double runS = 4;
     int capacity = 40;
+    /** Jobs that were submitted with a mistake: their tasks fail everywhere. */
+    final java.util.Set<String> faulty = new java.util.HashSet<>();
     boolean cloudDown;
     /** Whether a filter refuses connections between controllers. */
     boolean peersRefuse;
@@ -56,7 +58,7 @@
     double commandLateS;
     /** Orders sent straight to workers that hear nothing, to be delivered late. */
     final List<Runnable> heldCommands = new ArrayList<>();
-    private int rented;
+    int rented;
     private final Map<String, List<Object>> hires = new HashMap<>();
 
     private record Event(double at, long order, Runnable run) implements Comparable<Event> {
@@ -125,6 +127,11 @@
         StateStandIn.Link link = StateStandIn.Link.GOOD;
         boolean cutFromPeers;
         private int process;
+        /** When it goes on, while it stands still: nothing of it runs, but its clocks do. */
+        double frozenUntil;
+        /** The start of a path: it stands still for so long just between deciding on such a call and sending it. */
+        String freezeAt;
+        double freezeForS;
         Controller controller;
         Users users;
 
@@ -148,14 +155,18 @@
             StateClient client = new StateClient(st, st, () -> now, 200, count);
             controller = new Controller(s, Operators.defaults(), client, alive(mine, World.this::cloud),
                     a -> alive(mine, commands(a)), () -> now,
-                    () -> (long) (now * 1000), (r, ms) -> in(ms / 1000.0, () -> {
+                    () -> (long) (now * 1000), (r, ms) -> in(ms / 1000.0, () -> awake(() -> {
                         if (process == mine) r.run();
-                    }), new SplittableRandom(label.hashCode() * 31L + process));
+                    })), new SplittableRandom(label.hashCode() * 31L + process));
             users = new Users(controller, client, s, () -> (long) (now * 1000));
             up = true;
             Runnable[] tick = new Runnable[1];
             tick[0] = () -> {
                 if (process != mine) return;
+                if (frozenUntil > now) {
+                    awake(tick[0]);
+                    return;
+                }
                 controller.tick();
                 in(Constants.TICK_MS / 1000.0, tick[0]);
             };
@@ -163,8 +174,12 @@
             Runnable[] ask = new Runnable[1];
             ask[0] = () -> {
                 if (process != mine) return;
+                if (frozenUntil > now) {
+                    awake(ask[0]);
+                    return;
+                }
                 for (Node n : nodes) {
-                    if (n == this || n.cutFromPeers || cutFromPeers) continue;
+                    if (n == this || n.frozenUntil > now || n.cutFromPeers || cutFromPeers) continue;
                     if (!n.up || peersRefuse) {
                         controller.peerRefused(n.label);
                         continue;
@@ -178,13 +193,30 @@
 
         /** An answer that comes after the process has ended reaches nobody. */
         private Calls alive(int mine, Calls c) {
-            return (method, path, body, ms, then) -> c.call(method, path, body, ms, a -> {
-                if (process == mine) then.accept(a);
-            });
+            return (method, path, body, ms, then) -> {
+                if (freezeAt != null && path.startsWith(freezeAt)) {
+                    freezeAt = null;
+                    freeze(freezeForS);
+                }
+                awake(() -> c.call(method, path, body, ms, a -> awake(() -> {
+                    if (process == mine) then.accept(a);
+                })));
+            };
+        }
+
+        /** Now, or as soon as it goes on. */
+        private void awake(Runnable r) {
+            if (frozenUntil > now) in(frozenUntil - now, () -> awake(r));
+            else r.run();
+        }
+
+        void freeze(double forS) {
+            frozenUntil = now + forS;
         }
 
         void kill() {
             up = false;
+            frozenUntil = 0;
             process++;
         }
 
@@ -283,7 +315,15 @@
                 in(ms / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), false)));
                 return;
             }
-            Runnable carry = () -> w.command(body, a -> in(0.001, () -> then.accept(a)));
+            boolean[] over = new boolean[1];
+            Runnable carry = () -> w.command(body, a -> in(0.001, () -> {
+                if (!over[0]) then.accept(a);
+                over[0] = true;
+            }));
+            if (w.hangsUntil > now) in(ms / 1000.0, () -> {
+                if (!over[0]) then.accept(new Http.Answer(0, Map.of(), true));
+                over[0] = true;
+            });
             if (!w.deaf && commandLateS == 0) in(0.001, carry);
             else {
                 if (w.deaf) heldCommands.add(carry);
@@ -325,7 +365,7 @@
                 List<Object> l = new ArrayList<>();
                 for (Worker w : workers.values()) {
                     l.add(Map.of("nameId", w.name, "address", w.name, "build", "small", "site", "a", "loaners", false,
-                            "status", "running", "ageS", 1.0));
+                            "status", now - w.diedAt > 30 ? "failed" : "running", "ageS", 1.0));
                 }
                 a = Map.of("rigs", l, "hasNext", false);
             }
@@ -367,10 +407,17 @@
         double leaseFrom = now;
         int at;
         boolean gone;
+        double diedAt = Double.POSITIVE_INFINITY;
+        /** Every task that starts fails. */
+        boolean sick;
+        /** How many times slower than others it runs tasks. */
+        double slow = 1;
         /** Reports leave, answers do not come. */
         boolean deaf;
         /** Nothing leaves. */
         boolean cut;
+        /** When it goes on, while it hangs: tasks stand still, and so does what it would hear or say. */
+        double hangsUntil;
         /** Every report sent, for late copies. */
         final List<Report> sent = new ArrayList<>();
         int starts;
@@ -380,6 +427,12 @@
             this.leaseFrom = now + 2;
         }
 
+        /** Stops with all that is on it; the cloud's list tells so half a minute later. */
+        void die() {
+            end();
+            diedAt = now;
+        }
+
         void end() {
             gone = true;
             tasks.clear();
@@ -388,6 +441,10 @@
         /** Lease and running tasks, ten times a second. */
         void live() {
             if (gone) return;
+            if (hangsUntil > now) {
+                in(hangsUntil - now, this::live);
+                return;
+            }
             if (now - leaseFrom > LEASE_S) {
                 tasks.clear();
                 session++;
@@ -397,10 +454,11 @@
             for (Task t : tasks.values()) {
                 if (t.state == TaskState.WAITING && together(t)) t.state = TaskState.RUNNING;
                 if (t.state != TaskState.RUNNING) continue;
-                t.ranS += 0.1;
-                if (t.ranS >= runS) {
+                t.ranS += 0.1 / slow;
+                boolean fails = sick || faulty.contains(t.job);
+                if (fails || t.ranS >= runS) {
                     t.state = TaskState.EXITED;
-                    t.cause = Cause.DONE;
+                    t.cause = fails ? Cause.ERROR : Cause.DONE;
                     changed = true;
                 }
             }
@@ -431,6 +489,11 @@
 
         void beat() {
             if (gone) return;
+            if (hangsUntil > now) {
+                // On waking, the lease is looked at before anything is said.
+                in(hangsUntil - now + 0.001, this::beat);
+                return;
+            }
             Node n = nodes.get(at);
             if (cut || !n.up) {
                 elsewhere(cut ? 5 : 1);
@@ -440,6 +503,14 @@
             sent.add(r);
             double sentAt = now;
             in(0.002, () -> {
+                if (n.frozenUntil > now) {
+                    // It waits in the socket and is read on waking, when nobody waits for the answer any more.
+                    in(n.frozenUntil - now, () -> {
+                        if (n.up) n.controller.beat(r);
+                    });
+                    in(5, () -> elsewhere(0));
+                    return;
+                }
                 Controller.Beat b = n.up ? n.controller.beat(r) : null;
                 if (deaf) in(5, () -> elsewhere(0));
                 else in(0.002, () -> heard(b, sentAt, r.session()));
@@ -453,6 +524,10 @@
 
         private void heard(Controller.Beat b, double sentAt, long inSession) {
             if (gone) return;
+            if (hangsUntil > now) {
+                in(hangsUntil - now + 0.001, () -> heard(now - sentAt > 4 ? null : b, sentAt, inSession));
+                return;
+            }
             if (b instanceof Controller.Beat.Orders o) {
                 if (inSession == session && o.token() >= token) {
                     token = o.token();
@@ -470,6 +545,10 @@
         /** Orders sent straight here: refused under a lower token or for another session. */
         void command(Map<String, Object> body, java.util.function.Consumer<Http.Answer> then) {
             if (gone) return;
+            if (hangsUntil > now) {
+                in(hangsUntil - now + 0.001, () -> command(body, then));
+                return;
+            }
             boolean good = Fields.num(body, "baton", 0) >= token && Fields.num(body, "stint", 0) == session;
             if (good) {
                 token = Fields.num(body, "baton", 0);
