--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -65,6 +65,18 @@
     public static final double FRESH_PART = 0.4;
     /** Milliseconds between looks at the leader key when the watch does not work. */
     public static final int CAMPAIGN_RETRY_MS = 700;
+    /** Report intervals over which reports are counted: each worker has reported somewhere in that time. */
+    public static final double REPORTS_INTERVALS = 1.5;
+    /** Share of the machines that must report to other nodes before a leader that hears none gives up. */
+    public static final double MISSED_SHARE = 0.25;
+    /** The same, the least number; a few machines may be lost by themselves. */
+    public static final int MISSED_LEAST = 3;
+    /** Share of the others' reports up to which a leader counts as hearing none. */
+    public static final double MISSED_HEARS = 0.05;
+    /** Seconds a term lasts at the least before that is judged: workers find a new leader in two tries of 5 s. */
+    public static final double MISSED_AFTER_S = 12;
+    /** Seconds for which a leader that gave up leaves the campaign to the others. */
+    public static final double RESIGNED_S = 10;
     /** Factor by which two steady clocks may differ, doubled (both drift) and rounded up. */
     public static final double DRIFT = 0.002;
     /** Seconds kept as margin in every proof that rests on time. */
@@ -194,6 +206,8 @@
     // ---- peers ------------------------------------------------------------------------------------------------
     /** Milliseconds between words to a peer. */
     public static final int PEER_MS = 1000;
+    /** Seconds for which what a peer said of itself holds. */
+    public static final double PEER_FRESH_S = 3;
     /** Refused connections in a row after which a peer's process counts as ended. */
     public static final int REFUSALS_ENDED = 2;
     /** Milliseconds between them: longer than a listening queue that is full for a moment. */
--- a/src/main/java/org/mountlug/core/lead/Election.java
+++ b/src/main/java/org/mountlug/core/lead/Election.java
@@ -27,6 +27,7 @@
     private long oldHold;
     /** The leader's hold, 0 once given up for ended. */
     private long leaderHold;
+    private double resignedUntilS = Double.NEGATIVE_INFINITY;
 
     /** @param nonce tells this process from an earlier one of the same label */
     public Election(String label, String nonce) {
@@ -89,9 +90,7 @@
         busy = false;
         if (leading) return;
         if (who == null) {
-            if (!keyFree) campaignAtS = nowS + random * Constants.CAMPAIGN_SPREAD_MS / 1000.0;
-            keyFree = true;
-            leader = null;
+            free(nowS, random);
             return;
         }
         keyFree = false;
@@ -110,11 +109,28 @@
     /** The key was seen to vanish. */
     public void vanished(double nowS, double random) {
         if (leading) return;
-        if (!keyFree) campaignAtS = nowS + random * Constants.CAMPAIGN_SPREAD_MS / 1000.0;
+        free(nowS, random);
+    }
+
+    private void free(double nowS, double random) {
+        if (!keyFree) {
+            campaignAtS = Math.max(nowS + random * Constants.CAMPAIGN_SPREAD_MS / 1000.0, resignedUntilS);
+        }
         keyFree = true;
         leader = null;
     }
 
+    /**
+     * Gives up leading, as somebody else can do it better: the hold is dropped, so that the others need not wait for
+     * its end, and for a while the campaign is theirs.
+     */
+    public void resign(double nowS) {
+        if (!leading) return;
+        oldHold = hold;
+        depose();
+        resignedUntilS = nowS + Constants.RESIGNED_S;
+    }
+
     /**
      * The leader's process has ended, by all that its peers can tell: its hold need not be waited for. Should it live
      * after all, it is deposed like any other, as every transaction of its is guarded by the key that goes with the hold.
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -66,6 +66,7 @@
     private long reservationsFrom = -1;
     private boolean watchingReservations;
     private double nextReservationsS;
+    private final ReportCount reports;
     /** Steady seconds of the last turn, by which a standstill of the whole process shows. */
     private double lastTurnS;
     /** Steady seconds of the last waking from a standstill. */
@@ -91,6 +92,7 @@
         this.boot = random.nextLong();
         this.startedS = clockS.getAsDouble();
         this.lastTurnS = startedS;
+        this.reports = new ReportCount(Constants.REPORTS_INTERVALS * settings.reportS());
         this.election = new Election(settings.label(), Long.toHexString(boot));
         this.peerView = new PeerView(settings.others().stream().map(Settings.Peer::label).toList(),
                 Constants.ABORT_MEMORY_S);
@@ -114,6 +116,10 @@
             LOG.info("{} has ended, by its refusals and the others' answers", l);
             election.leaderEnded(l);
         }
+        if (missed()) {
+            LOG.info("gives up leading: workers report to the other nodes and not to us");
+            election.resign(clockS.getAsDouble());
+        }
         lead();
         watchLeader();
         watchReservations();
@@ -143,6 +149,20 @@
         return !doubtful;
     }
 
+    /**
+     * Whether the workers cannot reach us, though they reach the others, who send them to us. Our hold would go on and
+     * on, and with it all that runs would lose its lease: another one must lead.
+     */
+    private boolean missed() {
+        double now = clockS.getAsDouble();
+        if (leader == null || !leader.loaded() || !election.proven(now) || leader.termS() < Constants.MISSED_AFTER_S) {
+            return false;
+        }
+        int elsewhere = peerView.reportsElsewhere(now);
+        if (elsewhere < Constants.MISSED_LEAST || reports.lately(now) > elsewhere * Constants.MISSED_HEARS) return false;
+        return elsewhere >= leader.machinesUp() * Constants.MISSED_SHARE;
+    }
+
     // ---- leadership -------------------------------------------------------------------------------------------
 
     /** When to campaign, as a part of the spread. */
@@ -268,7 +288,8 @@
 
     public PeerCodec.Answer tellPeer(long serial) {
         double now = clockS.getAsDouble();
-        return new PeerCodec.Answer(serial, boot, state.served(), knownToken(), false, peerView.aborts(now));
+        return new PeerCodec.Answer(serial, boot, state.served(), knownToken(), reports.lately(now), false,
+                peerView.aborts(now));
     }
 
     private long knownToken() {
@@ -383,6 +404,7 @@
 
     public Beat beat(Report r) {
         metrics.beat();
+        reports.add(clockS.getAsDouble());
         if (leader == null || !election.leading()) {
             String l = election.leader();
             return new Beat.Elsewhere(settings.label().equals(l) ? null : l);
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -74,6 +74,7 @@
     private long watchFrom;
     /** Steady seconds up to which every abort of any node is known to us. */
     private double viewS;
+    private final double beganS;
 
     private List<Item> inFlight;
     private Change change;
@@ -125,9 +126,22 @@
         cloudCalls = new Budget(settings.cloudRps() * Constants.RENT_CALL_SHARE,
                 settings.cloudRps() * Constants.RENT_CALL_SHARE * Constants.CLOUD_BURST_S);
         viewS = clockS.getAsDouble();
+        beganS = viewS;
         load(null, true);
     }
 
+    /** Seconds since this term began. */
+    double termS() {
+        return clockS.getAsDouble() - beganS;
+    }
+
+    /** Machines that have been heard of and are not known to be gone. */
+    int machinesUp() {
+        int n = 0;
+        for (Machine m : cluster.machines.values()) if (m.up && !m.unlisted) n++;
+        return n;
+    }
+
     Cluster cluster() {
         return cluster;
     }
--- a/src/main/java/org/mountlug/peer/PeerCodec.java
+++ b/src/main/java/org/mountlug/peer/PeerCodec.java
@@ -17,9 +17,10 @@
     /**
      * What a node tells of itself. {@code boot} names the process, {@code served} whether the state service serves it,
      * {@code token} the highest leader's token it knows, {@code aborts} every abort it has lately told a user of, unless
-     * {@code overflow}.
+     * {@code overflow}, {@code reports} how many workers' reports have lately come to it.
      */
-    public record Answer(long serial, long boot, boolean served, long token, boolean overflow, List<String> aborts) {}
+    public record Answer(long serial, long boot, boolean served, long token, int reports, boolean overflow,
+                         List<String> aborts) {}
 
     private PeerCodec() {}
 
@@ -31,7 +32,8 @@
 
     public static ByteBuffer answer(Answer a) {
         ByteBuffer b = ByteBuffer.allocate(FRAME_MAX);
-        b.putInt(0).putLong(a.serial()).putLong(a.boot()).put((byte) (a.served() ? 1 : 0)).putLong(a.token());
+        b.putInt(0).putLong(a.serial()).putLong(a.boot()).put((byte) (a.served() ? 1 : 0)).putLong(a.token())
+                .putInt(a.reports());
         int n = Math.min(IDS_MAX, a.aborts().size());
         b.put((byte) (a.overflow() || n < a.aborts().size() ? 1 : 0)).putShort((short) n);
         for (int i = 0; i < n; i++) {
@@ -58,6 +60,7 @@
         long boot = f.getLong();
         boolean served = f.get() != 0;
         long token = f.getLong();
+        int reports = f.getInt();
         boolean overflow = f.get() != 0;
         int n = f.getShort();
         List<String> ids = new ArrayList<>(n);
@@ -66,6 +69,6 @@
             f.get(id);
             ids.add(new String(id, StandardCharsets.US_ASCII));
         }
-        return new Answer(serial, boot, served, token, overflow, ids);
+        return new Answer(serial, boot, served, token, reports, overflow, ids);
     }
 }
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -15,7 +15,8 @@
  * anew since, has proven nothing for the time between.
  */
 public final class PeerView {
-    private record Known(long boot, double sinceS, double untilS, boolean served, double heardS, long token) {}
+    private record Known(long boot, double sinceS, double untilS, boolean served, double heardS, long token,
+                         int reports) {}
 
     private record Abort(String id, double atS) {}
 
@@ -48,7 +49,8 @@
         Known k = known.get(peer);
         // Aborts are listed for keepS only, so a longer gap, like a new process or an overflow, starts anew.
         boolean goesOn = k != null && k.boot() == a.boot() && !a.overflow() && nowS - k.untilS() < keepS / 2;
-        known.put(peer, new Known(a.boot(), goesOn ? k.sinceS() : askedS, askedS, a.served(), nowS, a.token()));
+        known.put(peer, new Known(a.boot(), goesOn ? k.sinceS() : askedS, askedS, a.served(), nowS, a.token(),
+                a.reports()));
     }
 
     /**
@@ -100,10 +102,17 @@
 
     /** Whether some peer said lately that the state service serves it. */
     public synchronized boolean anyServed(double nowS) {
-        for (Known k : known.values()) if (k.served() && nowS - k.heardS() < 3) return true;
+        for (Known k : known.values()) if (k.served() && nowS - k.heardS() < Constants.PEER_FRESH_S) return true;
         return false;
     }
 
+    /** How many workers' reports have lately come to the peers. */
+    public synchronized int reportsElsewhere(double nowS) {
+        int n = 0;
+        for (Known k : known.values()) if (nowS - k.heardS() < Constants.PEER_FRESH_S) n += k.reports();
+        return n;
+    }
+
     /** The highest leader's token that a peer knows of. */
     public synchronized long highestToken() {
         long t = 0;
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -431,6 +431,40 @@
         allDone(w, aborted ? 22 : 20, aborted ? 2 : 4, 200);
     }
 
+    /** A leader that no worker reaches any more gives up in time for another to renew their leases. */
+    @ParameterizedTest(name = "{0} controllers")
+    @ValueSource(ints = {3, 7})
+    void aLeaderWithoutItsWorkersGivesUpInTime(int controllers) {
+        World w = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 22);
+        w.runS = 80;
+        w.accept(id(1), 16, false);
+        assertTrue(w.until(60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 16));
+        w.run(15);
+        World.Node old = w.leader();
+        old.cutFromWorkers = true;
+        w.in(37, () -> old.cutFromWorkers = false);
+        assertTrue(w.until(14, () -> w.leader() != null && w.leader() != old), "another one leads");
+        allDone(w, 1, 1, 120);
+        assertEquals(16, w.workers.values().stream().mapToInt(k -> k.starts).sum(), "nothing was lost");
+    }
+
+    /** A leader whose machines are all cut off from everybody has nobody to give way to. */
+    @Test
+    void aLeaderWhoseMachinesAreAllCutOffGoesOn() {
+        World w = new World(3);
+        w.runS = 30;
+        w.accept(id(1), 16, false);
+        w.run(25);
+        long token = w.leader().token();
+        for (World.Worker k : w.workers.values()) {
+            k.cut = true;
+            w.in(20, () -> k.cut = false);
+        }
+        w.run(40);
+        assertEquals(token, w.leader().token());
+        allDone(w, 1, 1, 120);
+    }
+
     /** Machines hang and go on: within the lease the tasks are alive, after it the session is another. */
     @ParameterizedTest(name = "for {0} s, gang {1}, new leader {2}")
     @CsvSource({"5, false, false", "5, true, false", "8, false, true", "14, false, false", "14, true, false",
@@ -447,7 +481,7 @@
         if (newLeader) w.leader().restartAfter(0.3);
         allDone(w, 1, 1, 200);
         int starts = w.workers.values().stream().mapToInt(k -> k.starts).sum();
-        if (forS < World.LEASE_S - 2.5 && !newLeader) assertEquals(12, starts, "nothing was given up");
+        if (forS < w.leaseS - 2.5 && !newLeader) assertEquals(12, starts, "nothing was given up");
         w.run(60);
         assertEquals(List.of(), w.broken());
     }
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -30,7 +30,8 @@
  * workers check the rules as they go: {@link #broken} collects what must never happen.
  */
 final class World {
-    static final double LEASE_S = 10;
+    /** Seconds of a worker's lease. */
+    final double leaseS;
     static final double CANCEL_S = 30;
     static final Map<String, Object> TYPE = Map.of("name", "small", "vcpus", 4.0, "cards", 0.0, "ramGb", 32.0,
             "cacheGb", 30.0, "fetchGbPerS", 1.0, "price", 1.0, "marketPrice", 0.5, "bootS", 5.0, "sites", List.of("a"));
@@ -74,6 +75,11 @@
     }
 
     World(int controllers, List<Team> teams) {
+        this(controllers, teams, 10);
+    }
+
+    World(int controllers, List<Team> teams, double leaseS) {
+        this.leaseS = leaseS;
         state = new StateStandIn(this, 8, 8);
         for (int i = 0; i < controllers; i++) nodes.add(new Node("c-" + i, controllers, teams));
         for (Node n : nodes) n.boot();
@@ -126,6 +132,7 @@
         /** What it can reach. */
         StateStandIn.Link link = StateStandIn.Link.GOOD;
         boolean cutFromPeers;
+        boolean cutFromWorkers;
         private int process;
         /** When it goes on, while it stands still: nothing of it runs, but its clocks do. */
         double frozenUntil;
@@ -149,12 +156,12 @@
             int mine = ++process;
             List<Settings.Peer> others = new ArrayList<>();
             for (int i = 0; i < count; i++) if (!label.equals("c-" + i)) others.add(new Settings.Peer("c-" + i, "x:1"));
-            Settings s = new Settings(label, "a", "x:1", "x:2", others, "x:3", "x:4", 25, teams, List.of(), 2, LEASE_S,
+            Settings s = new Settings(label, "a", "x:1", "x:2", others, "x:3", "x:4", 25, teams, List.of(), 2, leaseS,
                     50, 6, CANCEL_S, 200, 25, 8, 8, 4, 10, 1000);
             Calls st = alive(mine, state.calls(() -> link));
             StateClient client = new StateClient(st, st, () -> now, 200, count);
             controller = new Controller(s, Operators.defaults(), client, alive(mine, World.this::cloud),
-                    a -> alive(mine, commands(a)), () -> now,
+                    a -> alive(mine, commands(a, this)), () -> now,
                     () -> (long) (now * 1000), (r, ms) -> in(ms / 1000.0, () -> awake(() -> {
                         if (process == mine) r.run();
                     })), new SplittableRandom(label.hashCode() * 31L + process));
@@ -308,10 +315,10 @@
     }
 
     /** The way straight to a worker, which its address names. */
-    private Calls commands(String address) {
+    private Calls commands(String address, Node from) {
         return (method, path, body, ms, then) -> {
             Worker w = workers.get(address);
-            if (w == null || w.cut) {
+            if (w == null || w.cut || from.cutFromWorkers) {
                 in(ms / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), false)));
                 return;
             }
@@ -445,7 +452,7 @@
                 in(hangsUntil - now, this::live);
                 return;
             }
-            if (now - leaseFrom > LEASE_S) {
+            if (now - leaseFrom > leaseS) {
                 tasks.clear();
                 session++;
                 leaseFrom = now;
@@ -495,8 +502,8 @@
                 return;
             }
             Node n = nodes.get(at);
-            if (cut || !n.up) {
-                elsewhere(cut ? 5 : 1);
+            if (cut || n.cutFromWorkers || !n.up) {
+                elsewhere(cut || n.cutFromWorkers ? 5 : 1);
                 return;
             }
             Report r = report();
--- a/src/test/java/org/mountlug/peer/PeerTest.java
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -18,12 +18,12 @@
     private final PeerView v = new PeerView(List.of("y", "z"), 20);
 
     private void answer(String peer, double asked, long boot, boolean overflow) {
-        v.answered(peer, asked, asked + 0.1, new PeerCodec.Answer(1, boot, false, 3, overflow, List.of()));
+        v.answered(peer, asked, asked + 0.1, new PeerCodec.Answer(1, boot, false, 3, 0, overflow, List.of()));
     }
 
     @Test
     void framesSurviveAndArriveInPieces() {
-        PeerCodec.Answer a = new PeerCodec.Answer(5, -9, true, 77, false, List.of("wk-000001", "wk-123456"));
+        PeerCodec.Answer a = new PeerCodec.Answer(5, -9, true, 77, 968, false, List.of("wk-000001", "wk-123456"));
         ByteBuffer whole = PeerCodec.answer(a);
         ByteBuffer part = whole.duplicate().limit(10);
         assertNull(PeerCodec.next(part));
