--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -92,6 +92,7 @@
     private final Budget cloudCalls;
     private boolean returning;
     private boolean listing;
+    private boolean listed;
     private double nextRoundS;
     private double lastRoundS;
     /** Whether somebody waits for the next round by the second. */
@@ -127,6 +128,7 @@
                 settings.cloudRps() * Constants.RENT_CALL_SHARE * Constants.CLOUD_BURST_S);
         viewS = clockS.getAsDouble();
         beganS = viewS;
+        cluster.woke(beganS); // who was silent before was not silent to us
         load(null, true);
     }
 
@@ -443,7 +445,8 @@
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, j.spec.expectedS())));
         preemptor.round(unplaced, round.nodes(), round.usage(), now);
         if (now < rentAgainS) rentals.clear();
-        if (rentals.isEmpty() && renting == 0 && now >= rentAgainS) {
+        // Until the first list a new leader does not know of the idle machines, and would rent them all again.
+        if (listed && rentals.isEmpty() && renting == 0 && now >= rentAgainS) {
             rentals.addAll(scaler.rentals(now, epochS));
             rent();
         }
@@ -640,6 +643,7 @@
                         list(now, sofar.get(sofar.size() - 1).name(), sofar);
                         return;
                     }
+                    listed = true;
                     List<String> failed = cluster.listed(sofar, settings.listLagS(), clockS.getAsDouble());
                     if (!failed.isEmpty()) {
                         cloud.call(Methods.POST, "/hosts/release", CloudCodec.release(failed),
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -465,6 +465,29 @@
         allDone(w, 1, 1, 120);
     }
 
+    /** Idle machines that stand ready when a leader ends are neither rented again nor given up by the next one. */
+    @ParameterizedTest(name = "back after {0} s")
+    @ValueSource(doubles = {0.2, 8})
+    void aNewLeaderKeepsTheMachinesThereAre(double back) {
+        World w = new World(3);
+        w.runS = 25;
+        w.accept(id(1), 40, false, Map.of("dueS", 35.0));
+        assertTrue(w.until(60, () -> w.status(id(1), 5).equals("done")));
+        w.runS = 6;
+        int rented = w.rented;
+        List<String> there = List.copyOf(w.workers.keySet());
+        assertTrue(there.size() >= 5, "idle machines are left");
+        w.leader().link = StateStandIn.Link.SILENT; // what is asked now is left to the next leader
+        w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow()
+                .submit(id(3), 4 * there.size(), false, Map.of("dueS", 20.0));
+        w.leader().link = StateStandIn.Link.GOOD;
+        w.leader().restartAfter(back);
+        w.run(8);
+        assertEquals(there, List.copyOf(w.workers.keySet()));
+        allDone(w, 3, 1, 60);
+        assertEquals(rented, w.rented, "rented again");
+    }
+
     /** Machines hang and go on: within the lease the tasks are alive, after it the session is another. */
     @ParameterizedTest(name = "for {0} s, gang {1}, new leader {2}")
     @CsvSource({"5, false, false", "5, true, false", "8, false, true", "14, false, false", "14, true, false",
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -372,7 +372,7 @@
                 List<Object> l = new ArrayList<>();
                 for (Worker w : workers.values()) {
                     l.add(Map.of("nameId", w.name, "address", w.name, "build", "small", "site", "a", "loaners", false,
-                            "status", now - w.diedAt > 30 ? "failed" : "running", "ageS", 1.0));
+                            "status", now - w.diedAt > 30 ? "failed" : "running", "ageS", now - w.bornS));
                 }
                 a = Map.of("rigs", l, "hasNext", false);
             }
@@ -414,6 +414,7 @@
         double leaseFrom = now;
         int at;
         boolean gone;
+        final double bornS = now;
         double diedAt = Double.POSITIVE_INFINITY;
         /** Every task that starts fails. */
         boolean sick;
