--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -97,6 +97,8 @@
     public static final double REFUSED_RETRY_S = 2.0;
     /** Seconds between two reports to the same node: a worker without an answer waits 4 s and moves on after 1 s more. */
     public static final double STAYED_S = 4.9;
+    /** Seconds in which a machine that lost its lease should be heard of twice and get work again. */
+    public static final double HEARS_AGAIN_S = 8;
     /** Reports without a start that was sent before each, after which its machine counts as not hearing us. */
     public static final int IGNORED_STARTS = 2;
     /** Seconds after which a start sent straight to a worker, neither answered nor seen, must be made impossible. */
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -308,6 +308,7 @@
             m.up = true;
             m.idleSinceS = nowS;
         }
+        boolean served = m.synced && !m.deaf;
         if (r.session() > m.session && m.sequence >= 0) m.deaf = true;
         else if (r.token() == token && r.sequence() == m.sequence + 1 && nowS - m.heardS < Constants.STAYED_S) m.deaf = false;
         m.type = types.get(r.type());
@@ -327,6 +328,8 @@
         }
         // A report under an older token may be followed by an older leader's word; it proves nothing.
         m.synced = r.token() == token;
+        // Nothing could be given to it until now, so it has not been idle; else what comes back from a cut is returned.
+        if (!served && m.synced && !m.deaf) m.idleSinceS = nowS;
         if (m.synced && !m.deaf) m.unheardSinceS = Double.NaN;
         else if (Double.isNaN(m.unheardSinceS)) m.unheardSinceS = nowS;
         m.answeredS = nowS;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -104,9 +104,12 @@
             boolean silent = m.up && cluster.silentS(m, nowS) > leaseS;
             // A silent machine that the cloud still lists is likely cut off, and back before a new one is up.
             if (silent && (m.unlisted || Double.isNaN(m.listedS) || silentZones.contains(m.zone))) continue;
-            if (m.up && !silent && m.deaf) continue;
-            Vessel v = new Vessel(m.type, m.zone, m.spot,
-                    silent ? m.type.bootS() : m.up ? 0 : m.expectedUpS(nowS) - nowS);
+            // After an outage or a cut a whole room has lost its leases and is deaf until its next two reports: rented
+            // for at once, it would be there twice.
+            boolean back = m.up && !silent && m.deaf;
+            if (back && cluster.unheardS(m, nowS) > leaseS) continue;
+            Vessel v = new Vessel(m.type, m.zone, m.spot, silent ? m.type.bootS()
+                    : back ? Constants.HEARS_AGAIN_S : m.up ? 0 : m.expectedUpS(nowS) - nowS);
             for (Placement p : m.placed.values()) {
                 double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
                 double left = Math.max(2, cluster.expectedS(p.job) - ran);
@@ -288,7 +291,7 @@
                 if (trustSilence) why = "hears nothing";
             } else if (m.sick && m.placed.isEmpty()) {
                 why = "sick";
-            } else if (m.synced && m.empty() && !reserved.contains(m.name)
+            } else if (m.synced && !m.deaf && m.empty() && !reserved.contains(m.name)
                     && nowS - m.idleSinceS > idleKeepS + (known && spare.get(m.type.name()) == m ? boot / 2 : 0)) {
                 why = "idle";
             }
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -488,6 +488,28 @@
         assertEquals(rented, w.rented, "rented again");
     }
 
+    /** Its own silence is not the machines': nothing is given up for it, though it still leads on waking. */
+    @Test
+    void aLeaderThatStoodStillAmidAnOutageCountsNoSilenceOfItsOwn() {
+        World w = new World(3);
+        w.runS = 60;
+        w.accept(id(1), 12, false);
+        assertTrue(w.until(60, () -> w.status(id(1), 5).equals("running")));
+        w.run(5);
+        World.Node old = w.leader();
+        long token = old.token();
+        List<String> before = List.copyOf(w.workers.keySet());
+        w.state.outage = true;
+        w.run(1);
+        old.freeze(28);
+        w.run(27);
+        w.state.recover();
+        w.run(8);
+        assertEquals(token, w.leader().token());
+        assertEquals(before, List.copyOf(w.workers.keySet()));
+        allDone(w, 1, 1, 200);
+    }
+
     /** Machines hang and go on: within the lease the tasks are alive, after it the session is another. */
     @ParameterizedTest(name = "for {0} s, gang {1}, new leader {2}")
     @CsvSource({"5, false, false", "5, true, false", "8, false, true", "14, false, false", "14, true, false",
@@ -509,6 +531,30 @@
         assertEquals(List.of(), w.broken());
     }
 
+    /** Many machines stop at the same moment: gangs are placed again as wholes, and only what waits is rented for. */
+    @ParameterizedTest(name = "{0} of 20 machines die, {1} are cut off for {2} s")
+    @CsvSource({"10, 0, 0", "0, 12, 15", "6, 8, 30", "19, 0, 0", "0, 20, 12"})
+    void manyMachinesLostTogether(int die, int cut, double cutS) {
+        World w = new World(3);
+        w.capacity = 60;
+        w.runS = 25;
+        for (int i = 1; i <= 4; i++) w.accept(id(i), 8, true);
+        w.accept(id(5), 48, false);
+        assertTrue(w.until(60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 80));
+        int before = w.workers.size();
+        int n = 0;
+        for (World.Worker k : new ArrayList<>(w.workers.values())) {
+            if (n < die) k.die();
+            else if (n < die + cut) {
+                k.cut = true;
+                w.in(cutS, () -> k.cut = false);
+            }
+            n++;
+        }
+        allDone(w, 1, 5, 240);
+        assertTrue(w.rented <= before + die + cut + 4, "rented " + w.rented + " of " + before + " at first");
+    }
+
     @Test
     void tokensGrowStrictlyFromTermToTerm() {
         World w = new World(3);
