--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -615,6 +615,7 @@
                 m.rentedS = nowS - x.ageS();
                 added(m);
             }
+            m.running |= x.status() == Listed.Status.RUNNING;
             if (m.type == null) m.type = types.get(x.type());
             if (m.zone == null) m.zone = x.zone();
             if (!m.up) m.spot = x.spot();
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -42,6 +42,8 @@
     public double heardS;
     public double rentedS;
     public boolean up;
+    /** Whether the cloud's list shows it running: then it has come up, whether we have heard of it or not. */
+    public boolean running;
     /** Steady seconds when the cloud's list first showed it, NaN if it has not. */
     public double listedS = Double.NaN;
     /** Whether the list has stopped showing it: the cloud has taken it, or it was returned by somebody. */
@@ -80,6 +82,11 @@
         return job + "/" + task + "#" + attempt;
     }
 
+    /** Whether it has come up, by its own word or the cloud's. */
+    public boolean cameUp() {
+        return up || running;
+    }
+
     /** Whether new work may be placed here. */
     public boolean usable() {
         return type != null && up && synced && !deaf && !releasing && !sick && Double.isNaN(takenS);
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -101,7 +101,7 @@
         List<Vessel> vessels = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS)) continue;
-            boolean silent = m.up && cluster.silentS(m, nowS) > leaseS;
+            boolean silent = m.cameUp() && cluster.silentS(m, nowS) > leaseS;
             // A silent machine that the cloud still lists is likely cut off, and back before a new one is up.
             if (silent && (m.unlisted || Double.isNaN(m.listedS) || silentZones.contains(m.zone))) continue;
             // After an outage or a cut a whole room has lost its leases and is deaf until its next two reports: rented
@@ -228,7 +228,7 @@
     private Set<String> silentZones(double nowS) {
         Map<String, int[]> zones = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
-            if (!m.up || m.unlisted || m.zone == null) continue;
+            if (!m.cameUp() || m.unlisted || m.zone == null) continue;
             int[] n = zones.computeIfAbsent(m.zone, z -> new int[2]);
             n[0]++;
             if (cluster.silentS(m, nowS) > leaseS) n[1]++;
@@ -254,7 +254,7 @@
         int silent = 0;
         double quiet = leaseS + Constants.SILENT_RELEASE_S;
         for (Machine m : cluster.machines.values()) {
-            if (!m.up && m.placed.isEmpty() || m.unlisted) continue;
+            if (!m.cameUp() && m.placed.isEmpty() || m.unlisted) continue;
             up++;
             if (cluster.silentS(m, nowS) > quiet || hearsNothing(m, nowS)) silent++;
         }
@@ -277,7 +277,7 @@
             String why = null;
             boolean known = m.type != null;
             double boot = known ? m.type.bootS() : 60;
-            if (!m.up && m.placed.isEmpty()) {
+            if (!m.cameUp() && m.placed.isEmpty()) {
                 double since = Math.max(nowS - m.rentedS, 0);
                 if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S && cluster.hearingFor(nowS) > leaseS) why = "never came up";
             } else if (m.unlisted && cluster.silentS(m, nowS) > leaseS / 2) {
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -510,6 +510,28 @@
         allDone(w, 1, 1, 200);
     }
 
+    /** A room that is cut off while the leader changes is still there when it comes back, idle machines and all. */
+    @Test
+    void aRoomThatIsCutOffAmidAnElectionIsNotRentedTwice() {
+        World w = new World(3);
+        w.runS = 25;
+        w.accept(id(1), 40, false, Map.of("dueS", 35.0));
+        assertTrue(w.until(60, () -> w.status(id(1), 5).equals("done")));
+        int rented = w.rented;
+        List<String> there = List.copyOf(w.workers.keySet());
+        assertTrue(there.size() >= 5, "idle machines are left");
+        for (World.Worker k : w.workers.values()) {
+            k.cut = true;
+            w.in(60, () -> k.cut = false);
+        }
+        w.leader().restartAfter(3);
+        w.accept(id(2), 20, false);
+        w.run(65);
+        assertEquals(there, List.copyOf(w.workers.keySet()));
+        allDone(w, 2, 1, 90);
+        assertEquals(rented, w.rented, "rented again");
+    }
+
     /** Machines hang and go on: within the lease the tasks are alive, after it the session is another. */
     @ParameterizedTest(name = "for {0} s, gang {1}, new leader {2}")
     @CsvSource({"5, false, false", "5, true, false", "8, false, true", "14, false, false", "14, true, false",
