--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -35,6 +35,7 @@
 
     public void round(Collection<Job> unplaced, Map<String, Node> nodes, Map<String, Resources> usage, double nowS) {
         lastFor.keySet().removeIf(id -> !cluster.jobs.containsKey(id));
+        Map<String, Resources> left = null;
         for (Job j : unplaced) {
             // Work without accelerators is queued, not forced in: it has plenty of cheap machines to wait for.
             if (j.cancelled || j.spec.need().gpus() == 0 || cluster.reservations.containsKey(j.spec.id())) continue;
@@ -48,11 +49,12 @@
             Team team = cluster.team(s.team());
             if (team != null && !team.allows(then)) continue;
             boolean due = team != null && team.guarantees(then);
+            if (left == null) left = remaining(usage);
             Set<String> zones = new LinkedHashSet<>();
             if (s.gang() && s.oneZone()) for (Node n : nodes.values()) zones.add(n.machine.zone);
             else zones.add(null);
             for (String zone : zones) {
-                Plan p = plan(j, zone, want, least, due, nodes, usage, nowS);
+                Plan p = plan(j, zone, want, least, due, nodes, left, nowS);
                 if (p == null) continue;
                 for (Placement v : p.victims) {
                     v.stop(v.job.spec.checkpointS() > 0 ? v.job.spec.saveS() + Constants.SAVE_GRACE_S : 0);
@@ -60,6 +62,7 @@
                     cluster.note("preempted " + v.name() + " on " + v.machine + " for " + s.id());
                 }
                 lastFor.put(s.id(), nowS);
+                left = p.left;
                 break;
             }
         }
@@ -69,6 +72,27 @@
     private static final class Plan {
         final Set<Placement> victims = new LinkedHashSet<>();
         final List<Node> claimed = new ArrayList<>();
+        final Map<String, Resources> left;
+
+        Plan(Map<String, Resources> left) {
+            this.left = new HashMap<>(left);
+        }
+    }
+
+    /** What each team would use if all that was told to stop were gone: its guarantee is judged by that. */
+    private Map<String, Resources> remaining(Map<String, Resources> usage) {
+        Map<String, Resources> left = new HashMap<>(usage);
+        for (Job j : cluster.jobs.values()) for (Placement p : j.placed.values()) {
+            if (p.stopping) left.merge(j.spec.team(), j.spec.need(), Resources::minus);
+        }
+        return left;
+    }
+
+    /** What goes with a task that is stopped: a gang stops as a whole. */
+    private static Resources goesWith(Placement p) {
+        Resources n = p.job.spec.need();
+        int k = p.job.spec.gang() ? p.job.placed.size() : 1;
+        return new Resources(n.cpus() * k, n.gpus() * k, n.ramGb() * k);
     }
 
     /**
@@ -76,8 +100,8 @@
      * again next round and stopped once more, for as long as it waits. Room that is free or held for it counts first.
      */
     private Plan plan(Job j, String zone, int want, int least, boolean due, Map<String, Node> nodes,
-                      Map<String, Resources> usage, double nowS) {
-        Plan p = new Plan();
+                      Map<String, Resources> left, double nowS) {
+        Plan p = new Plan(left);
         Resources need = j.spec.need();
         int got = 0;
         if (j.spec.gang()) for (Node n : nodes.values()) {
@@ -88,10 +112,13 @@
             }
         }
         while (got < want) {
-            List<Placement> victims = cheapest(j, zone, due, p.victims, nodes, usage, nowS);
+            List<Placement> victims = cheapest(j, zone, due, p, nodes, nowS);
             if (victims == null) break;
             Node n = nodes.get(victims.get(0).machine);
-            for (Placement v : victims) n.releasing = n.releasing.plus(v.job.spec.need());
+            for (Placement v : victims) {
+                n.releasing = n.releasing.plus(v.job.spec.need());
+                p.left.merge(v.job.spec.team(), goesWith(v), Resources::minus);
+            }
             p.victims.addAll(victims);
             n.pipelined = n.pipelined.plus(need);
             p.claimed.add(n);
@@ -112,8 +139,7 @@
                 && (n.machine.heldFor == null || n.machine.heldFor.equals(j.spec.id()));
     }
 
-    private List<Placement> cheapest(Job j, String zone, boolean due, Set<Placement> before, Map<String, Node> nodes,
-                                     Map<String, Resources> usage, double nowS) {
+    private List<Placement> cheapest(Job j, String zone, boolean due, Plan plan, Map<String, Node> nodes, double nowS) {
         JobSpec s = j.spec;
         List<Placement> best = null;
         double least = Double.MAX_VALUE;
@@ -121,17 +147,22 @@
             if (!may(j, n, zone) || !s.need().fitsIn(n.machine.type.size())) continue;
             List<Placement> may = new ArrayList<>();
             for (Placement p : n.machine.placed.values()) {
-                if (!p.stopping && !p.standby && !before.contains(p) && mayStop(s, due, p, usage)) may.add(p);
+                if (!p.stopping && !p.standby && !plan.victims.contains(p) && mayStop(s, due, p, plan.left, Map.of())) {
+                    may.add(p);
+                }
             }
             if (may.isEmpty()) continue;
             may.sort(Comparator.comparingDouble(p -> loss(p, nowS)));
             Resources room = n.future();
             List<Placement> taken = new ArrayList<>();
+            Map<String, Resources> gone = new HashMap<>();
             // A start waits for its image too: a machine that has it is worth the loss of as much work.
             double cost = n.machine.images.contains(s.image()) ? 0
                     : s.imageGb() / Math.max(0.01, n.machine.type.fetchGbPerS());
             for (Placement p : may) {
                 if (s.need().fitsIn(room)) break;
+                if (!mayStop(s, due, p, plan.left, gone)) continue;
+                gone.merge(p.job.spec.team(), goesWith(p), Resources::plus);
                 room = room.plus(p.job.spec.need());
                 taken.add(p);
                 cost += loss(p, nowS);
@@ -144,15 +175,20 @@
         return best;
     }
 
-    private boolean mayStop(JobSpec s, boolean due, Placement p, Map<String, Resources> usage) {
+    /**
+     * Whether a task may be stopped, given what its team would be left with and what of that goes too. Only what runs
+     * beyond the other team's guarantee, of the kind that it is guaranteed, may be taken back, and a gang only if that
+     * holds for all of it; or the two teams stop each other's gangs in turn, for as long as both have some waiting.
+     */
+    private boolean mayStop(JobSpec s, boolean due, Placement p, Map<String, Resources> left, Map<String, Resources> gone) {
         JobSpec v = p.job.spec;
         if (v.urgency().compareTo(s.urgency()) < 0) return true;
         if (!due || v.team().equals(s.team())) return false;
         Team other = cluster.team(v.team());
-        Resources used = usage.getOrDefault(v.team(), Resources.ZERO);
-        // Only what runs beyond the other team's own guarantee may be taken back.
-        return other != null && (other.gpus() > 0 || other.cpus() > 0)
-                && !other.guarantees(used.minus(v.need())) ;
+        if (other == null || other.gpus() <= 0 && other.cpus() <= 0) return false;
+        Resources then = left.getOrDefault(v.team(), Resources.ZERO).minus(gone.getOrDefault(v.team(), Resources.ZERO))
+                .minus(goesWith(p));
+        return v.need().gpus() > 0 && other.gpus() > 0 ? then.gpus() > other.gpus() - 1e-6 : !other.guarantees(then);
     }
 
     /** Seconds of work that a stop would waste: all of it without checkpoints, the saving otherwise. */
--- a/src/test/java/org/mountlug/core/PreemptorTest.java
+++ b/src/test/java/org/mountlug/core/PreemptorTest.java
@@ -54,6 +54,31 @@
         assertEquals(1, c.reservations.get("wk-000002").size());
     }
 
+    /** What was told to stop is still there; counted as used, it would let a team be stopped far below its guarantee. */
+    @ParameterizedTest(name = "{0} gangs of {1} of u, guaranteed {2} GPUs, for {3} gangs of t: {4} tasks stopped")
+    @CsvSource({"6, 1, 8, 4, 2", "6, 1, 4, 4, 4", "3, 2, 8, 4, 2", "3, 2, 9, 4, 0", "6, 1, 8, 1, 1", "3, 2, 2, 4, 4"})
+    void aTeamKeepsItsGuaranteeThroughSeveralRounds(int gangs, int tasks, double guarantee, int waiting, int stopped) {
+        Cluster c = Samples.cluster(new Team("t", 1000, 0, 100, 0, 1), new Team("u", 1000, 0, guarantee, 0, 1));
+        List<Job> victims = new ArrayList<>();
+        for (int i = 0; i < gangs * tasks; i++) Samples.up(c, "n-" + i, "gpu", "a");
+        for (int i = 0; i < gangs; i++) {
+            JobSpec s = of("wk-10000" + i, "u", Urgency.STANDARD);
+            victims.add(Samples.live(c, new JobSpec(s.id(), s.lane(), s.team(), true, s.urgency(), tasks, s.need(), null,
+                    null, false, false, true, "img", 1, 30, 15, 3, Double.NaN, 0)));
+        }
+        new Allocator(c, j -> 0, 1).round();
+        List<Job> mine = new ArrayList<>();
+        for (int i = 0; i < waiting; i++) mine.add(Samples.live(c, of("wk-20000" + i, "t", Urgency.STANDARD)));
+        Preemptor p = new Preemptor(c);
+        for (int round = 0; round < 4; round++) {
+            double now = 2 + 4 * round;
+            Allocator a = new Allocator(c, j -> 0, now);
+            a.round();
+            p.round(mine, a.nodes(), a.usage(), now);
+        }
+        assertEquals(stopped, victims.stream().flatMap(v -> v.placed.values().stream()).filter(q -> q.stopping).count());
+    }
+
     /** Stopping for a part of a gang frees room that is filled again at once, and stopped again, for as long as it waits. */
     @ParameterizedTest(name = "gang of {0}: {1} machines idle, {2} with work that may be stopped, {3} with other: stopped {4}")
     @CsvSource({"2, 0, 2, 0, 2", "2, 1, 2, 0, 1", "2, 1, 0, 1, 0", "2, 0, 1, 1, 0", "4, 2, 1, 1, 0", "4, 1, 3, 0, 3"})
