--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -113,6 +113,14 @@
     public static final int EARLY_ROUND_MS = 400;
     /** Leases for which a machine may hear nothing before it is returned: all its work has ended after one. */
     public static final double UNHEARD_LEASES = 3;
+    /** Tasks of a job that must have run before another's run time is held against them. */
+    public static final int SLOW_COMPARED = 6;
+    /** Natural logarithm of how much longer a task may run and still be ordinary: 1.4 times, about a deviation. */
+    public static final double SLOW_ORDINARY = 0.35;
+    /** The same, the most that one task may count: one that was seen to end late tells little. */
+    public static final double SLOW_MOST = 0.8;
+    /** Sum of what is beyond the ordinary at which a machine is condemned: four tasks at half the speed in a row. */
+    public static final double SLOW_CONDEMNED = 1.2;
     /** Failures in a row on one machine, of at least two different jobs, before it is quarantined. */
     public static final int SICK_FAILURES = 2;
     /** Characters of a record beside its tasks and names: numbers of the specification, failures, zones, keys. */
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -53,8 +53,7 @@
             return size() > 4000;
         }
     };
-    /** By class: mean of actual over estimated run time, learnt from finished tasks. */
-    private final Map<String, double[]> pace = new HashMap<>();
+    private final Outcomes outcomes = new Outcomes();
     /** By class: the neediest accelerator job seen in this term. */
     private final Map<String, JobSpec> acceleratorNeeds = new HashMap<>();
     private double recordChars = 8 * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
@@ -195,9 +194,7 @@
 
     /** Run time to expect of a task, the owner's estimate corrected by what the class has shown. */
     public double expectedS(Job j) {
-        double[] p = pace.get(j.spec.lane());
-        double f = p == null ? 1 : (p[0] + 4) / (p[1] + 4);
-        return Math.max(1, j.spec.expectedS() * Math.min(3, Math.max(0.3, f)));
+        return outcomes.expectedS(j);
     }
 
     /**
@@ -255,6 +252,7 @@
     /** The job's record moved to the finished ones at this revision. */
     public void finished(Job j, long epoch) {
         finished.put(j.spec.id(), epoch);
+        outcomes.forget(j.spec.id());
         jobs.remove(j.spec.id());
         reservations.remove(j.spec.id());
     }
@@ -315,6 +313,7 @@
         m.zone = r.zone();
         m.spot = r.spot();
         m.address = r.address();
+        if (nowS - m.heardS > leaseS / 2) m.gapS = nowS;
         m.heardS = nowS;
         if (r.session() != m.session) {
             m.ended.clear();
@@ -525,13 +524,8 @@
         if (i.cause() == Cause.DONE) {
             drop(p);
             roomCameFree |= !reservations.isEmpty();
-            m.failedJobs.clear();
-            m.failures = 0;
-            if (!Double.isNaN(p.runningS) && j.spec.expectedS() > 0 && j.spec.checkpointS() == 0) {
-                double[] x = pace.computeIfAbsent(j.spec.lane(), k -> new double[2]);
-                x[0] = x[0] * 0.99 + (nowS - p.runningS) / j.spec.expectedS();
-                x[1] = x[1] * 0.99 + 1;
-            }
+            String why = outcomes.done(m, p, nowS);
+            if (why != null) note(why);
             if (j.spec.gang()) j.done.set(0, j.spec.tasks()); // a gang completes together
             else j.done.set(p.task);
             j.failures.remove(p.task);
@@ -541,9 +535,8 @@
             if (i.cause() == Cause.ERROR) {
                 int n = j.failures.addTo(p.task, 1) + 1;
                 retry = Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 1));
-                m.failures++;
-                m.failedJobs.add(j.spec.id());
-                judge(m, j);
+                String why = outcomes.failed(m, j);
+                if (why != null) note(why);
             } else if (i.cause() == Cause.FULL || i.cause() == Cause.BUSY || i.cause() == Cause.UNKNOWN) {
                 retry = Constants.REFUSED_RETRY_S;
             }
@@ -552,18 +545,6 @@
         m.ended.put(key, new Machine.Ended(j, j.version));
     }
 
-    /**
-     * A machine is condemned when different jobs fail on it in a row, or one job that works elsewhere; a job that was
-     * submitted with a mistake fails everywhere and must not cost us the fleet.
-     */
-    private void judge(Machine m, Job j) {
-        boolean worksElsewhere = !j.done.isEmpty();
-        if (m.failures >= Constants.SICK_FAILURES && (m.failedJobs.size() >= 2 || worksElsewhere) && !m.sick) {
-            m.sick = true;
-            note("quarantined " + m.name + " after " + m.failures + " failures");
-        }
-    }
-
     // ---- proofs without the worker -----------------------------------------------------------------------------
 
     /** The cloud has confirmed that the machine and everything on it are gone. */
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -70,6 +70,11 @@
     /** Jobs whose tasks failed here since the last success. */
     public final Set<String> failedJobs = new HashSet<>();
     public int failures;
+    /** How much slower than others it ran its last tasks, and when that was last judged, see {@link Outcomes}. */
+    double lag;
+    double lagJudgedS = Double.NEGATIVE_INFINITY;
+    /** Steady seconds of the end of its last longer silence: what ran then is not known to have ended when reported. */
+    double gapS = Double.NEGATIVE_INFINITY;
 
     public Machine(String name, double nowS) {
         this.name = name;
--- /dev/null
+++ b/src/main/java/org/mountlug/core/cluster/Outcomes.java
@@ -0,0 +1,77 @@
+package org.mountlug.core.cluster;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import org.mountlug.Constants;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Placement;
+
+/**
+ * What the ends of tasks tell: of a class, how long its tasks run against their owners' estimates; of a machine, whether
+ * work may be left to it. Everything is judged from outcomes alone, as no machine says of itself that it is faulty.
+ */
+final class Outcomes {
+    /** By class: sums of actual over estimated run time and of their number, the latest counting most. */
+    private final Object2ObjectOpenHashMap<String, double[]> pace = new Object2ObjectOpenHashMap<>();
+    /** By live job: sum of the logarithms of its tasks' run times, and their number. */
+    private final Object2ObjectOpenHashMap<String, double[]> runs = new Object2ObjectOpenHashMap<>();
+
+    /** Run time to expect of a task, the owner's estimate corrected by what the class has shown. */
+    double expectedS(Job j) {
+        double[] p = pace.get(j.spec.lane());
+        double f = p == null ? 1 : (p[0] + 4) / (p[1] + 4);
+        return Math.max(1, j.spec.expectedS() * Math.min(3, Math.max(0.3, f)));
+    }
+
+    /** A task has completed; returns what there is to say if the machine is condemned by it, else null. */
+    String done(Machine m, Placement p, double nowS) {
+        Job j = p.job;
+        m.failedJobs.clear();
+        m.failures = 0;
+        if (Double.isNaN(p.runningS)) return null;
+        double ran = Math.max(0.5, nowS - p.runningS);
+        if (j.spec.expectedS() > 0 && j.spec.checkpointS() == 0) {
+            double[] x = pace.computeIfAbsent(j.spec.lane(), k -> new double[2]);
+            x[0] = x[0] * 0.99 + ran / j.spec.expectedS();
+            x[1] = x[1] * 0.99 + 1;
+        }
+        return j.spec.gang() ? null : slow(m, p, ran, nowS);
+    }
+
+    /**
+     * A machine that runs tasks slower than others run tasks of the same job, one after the other: a sum of how much
+     * slower, less what is within the ordinary, that starts anew whenever it falls below nothing. A gang runs at the
+     * speed of its slowest machine, so its tasks tell nothing of any one; nor do those that ended unseen.
+     */
+    private String slow(Machine m, Placement p, double ran, double nowS) {
+        double[] r = runs.computeIfAbsent(p.job.spec.id(), k -> new double[2]);
+        double log = Math.log(ran);
+        double mean = r[1] > 0 ? r[0] / r[1] : log;
+        boolean judged = r[1] >= Constants.SLOW_COMPARED && p.runningS > m.gapS && nowS > m.lagJudgedS;
+        r[0] += Math.min(log, mean + Constants.SLOW_MOST);
+        r[1]++;
+        if (!judged) return null;
+        m.lagJudgedS = nowS; // what ended together, ended late together
+        m.lag = Math.max(0, m.lag + Math.min(Constants.SLOW_MOST, log - mean) - Constants.SLOW_ORDINARY);
+        if (m.lag < Constants.SLOW_CONDEMNED || m.sick) return null;
+        m.sick = true;
+        return "quarantined " + m.name + ": it runs tasks slowly";
+    }
+
+    /**
+     * A task has failed. A machine is condemned when different jobs fail on it in a row, or one job that works
+     * elsewhere; a job that was submitted with a mistake fails everywhere and must not cost us the fleet.
+     */
+    String failed(Machine m, Job j) {
+        m.failures++;
+        m.failedJobs.add(j.spec.id());
+        boolean worksElsewhere = !j.done.isEmpty();
+        if (m.failures < Constants.SICK_FAILURES || m.failedJobs.size() < 2 && !worksElsewhere || m.sick) return null;
+        m.sick = true;
+        return "quarantined " + m.name + " after " + m.failures + " failures";
+    }
+
+    /** The job is over, and what was learnt of its tasks with it. */
+    void forget(String job) {
+        runs.remove(job);
+    }
+}
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -577,6 +577,30 @@
         assertTrue(w.rented <= before + die + cut + 4, "rented " + w.rented + " of " + before + " at first");
     }
 
+    /** What fails every task or runs it slowly is kept from work and returned; a bad job condemns no machine. */
+    @ParameterizedTest(name = "sick {0}, slow {1}, bad job {2}")
+    @CsvSource({"true, 1, false", "false, 3, false", "false, 1, true", "true, 3, true"})
+    void badMachinesAreNoticedFromOutcomes(boolean sick, double slow, boolean badJob) {
+        World w = new World(3);
+        w.capacity = 6;
+        w.runS = 5;
+        w.accept(id(1), 800, false);
+        assertTrue(w.until(60, () -> w.workers.size() == 6));
+        w.run(8);
+        World.Worker bad = w.workers.values().iterator().next();
+        List<String> good = w.workers.keySet().stream().filter(k -> !k.equals(bad.name)).toList();
+        bad.sick = sick;
+        bad.slow = slow;
+        if (badJob) {
+            w.faulty.add(id(2));
+            w.accept(id(2), 30, false);
+        }
+        w.run(95);
+        assertEquals(!sick && slow == 1, w.workers.containsKey(bad.name));
+        assertTrue(w.workers.keySet().containsAll(good));
+        allDone(w, 1, 1, 400);
+    }
+
     @Test
     void tokensGrowStrictlyFromTermToTerm() {
         World w = new World(3);
