--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -41,6 +41,10 @@
     public static final double NODE_BURST_S = 3;
     /** Share of a value's limit that a record may fill; the limit counts JSON characters, we count conservatively. */
     public static final double VALUE_FILL = 0.85;
+    /** Connections kept to the state service: a leader's writes and reads and a burst of submissions side by side. */
+    public static final int STATE_CONNECTIONS = 8;
+    /** Connections for watches: leader key, reservations, live jobs, and one to spare. */
+    public static final int WATCH_CONNECTIONS = 4;
     /** Milliseconds between two flushes: late enough to batch, early enough that "done" is told within 3 s. */
     public static final int FLUSH_MS = 250;
     /** Milliseconds a change that nobody waits for (progress of a running array) may wait for company. */
@@ -156,6 +160,8 @@
     public static final int LIST_MS = 8000;
     /** Milliseconds between two readings of the catalogue; prices move slowly. */
     public static final int CATALOGUE_MS = 60_000;
+    /** Connections to the cloud: rentals, returns and lists side by side, far above what its budget allows. */
+    public static final int CLOUD_CONNECTIONS = 3;
     /** Milliseconds a cloud call may take. */
     public static final int CLOUD_TIMEOUT_MS = 4000;
     /** Share of the cloud's calls that rentals may use; lists, returns and the catalogue need the rest. */
@@ -202,6 +208,15 @@
     /** Milliseconds between turns of a node's clock; everything periodic is a multiple of it. */
     public static final int TICK_MS = 100;
 
+    /** Sockets left for users; the load balancer gives a node some hundred at most, and refuses nobody above it. */
+    public static final int USER_CONNECTIONS = 100;
+    /** Files and other descriptors of the process: its archive, selectors, listening sockets. */
+    public static final int OTHER_FILES = 40;
+    /** MB that a controller takes before its first job, measured: 45 to 52. */
+    public static final int LEAST_MB = 64;
+    /** MB beside the heap, measured: classes, compiled code, stacks and buffers, 45 at rest, with room for its buffers. */
+    public static final int BESIDE_HEAP_MB = 80;
+
     // ---- users ------------------------------------------------------------------------------------------------
     /** Seconds told to users when something cannot be served. */
     public static final int RETRY_AFTER_S = 1;
@@ -224,6 +239,8 @@
     public static final int REFUSED_RETRY_MS = 250;
     /** Seconds after which a refusal has nothing to do with an earlier one. */
     public static final double REFUSED_ANEW_S = 2.5;
+    /** Connections accepted of each peer; all but one are dead and not yet noticed. */
+    public static final int PEER_ACCEPTED = 4;
     /** Milliseconds a peer may take to answer or connect. */
     public static final int PEER_TIMEOUT_MS = 1500;
 }
--- a/src/main/java/org/mountlug/cli/Main.java
+++ b/src/main/java/org/mountlug/cli/Main.java
@@ -3,12 +3,14 @@
 import org.mountlug.node.Daemon;
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
+import org.mountlug.settings.Sizes;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Model.OptionSpec;
 import picocli.CommandLine.ParseResult;
 
 import java.nio.file.Path;
+import java.util.List;
 
 /**
  * The command line. Built by hand rather than from annotations: reading those by reflection takes a noticeable part of
@@ -77,12 +79,14 @@
         try {
             Operators operators = own == null ? Operators.defaults() : Operators.load(own);
             Settings settings = Settings.load(config, operators);
+            List<String> sizes = Sizes.check(settings, Runtime.getRuntime().maxMemory() / 1048576.0);
             if (name.equals("check")) {
+                sizes.forEach(System.out::println);
                 System.out.println("settings of " + settings.label() + " are good");
                 return 0;
             }
             logging(operators.logTimes());
-            new Daemon(settings, operators).start();
+            new Daemon(settings, operators, sizes).start();
             return -1;
         } catch (Settings.Invalid e) {
             System.err.println(e.getMessage());
--- a/src/main/java/org/mountlug/cli/Rehearsal.java
+++ b/src/main/java/org/mountlug/cli/Rehearsal.java
@@ -53,7 +53,7 @@
                         """.formatted(ports[0], ports[1], ports[2], ports[3]));
                 Settings s = Settings.load(file, Operators.defaults());
                 try (StandIns standIns = new StandIns(ports[3], ports[2])) {
-                    Daemon c = new Daemon(s, Operators.defaults());
+                    Daemon c = new Daemon(s, Operators.defaults(), java.util.List.of());
                     c.start();
                     standIns.exercise(ports[0]);
                     c.stop();
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -22,6 +22,7 @@
 
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -39,8 +40,11 @@
     private Peers peers;
     private double nextPeerS;
     private boolean stopped;
+    private final List<String> sizes;
 
-    public Daemon(Settings settings, Operators operators) {
+    /** @param sizes what there is to say of the sizes, see {@link org.mountlug.settings.Sizes} */
+    public Daemon(Settings settings, Operators operators, List<String> sizes) {
+        this.sizes = sizes;
         this.settings = settings;
         this.operators = operators;
     }
@@ -59,10 +63,10 @@
                 .getMap());
         io = worker.getIoThread();
         ByteBufferPool pool = new DefaultByteBufferPool(true, Constants.IO_BUFFER, 64, 4);
-        StateClient state = new StateClient(new Http(io, pool, settings.state(), 8),
-                new Http(io, pool, settings.state(), 4), Daemon::clockS, settings.stateRps(),
+        StateClient state = new StateClient(new Http(io, pool, settings.state(), Constants.STATE_CONNECTIONS),
+                new Http(io, pool, settings.state(), Constants.WATCH_CONNECTIONS), Daemon::clockS, settings.stateRps(),
                 settings.others().size() + 1);
-        node = new Controller(settings, operators, state, new Http(io, pool, settings.cloud(), 3),
+        node = new Controller(settings, operators, state, new Http(io, pool, settings.cloud(), Constants.CLOUD_CONNECTIONS),
                 address -> new Http(io, pool, address, 1, false), Daemon::clockS,
                 System::currentTimeMillis, this::after, new SplittableRandom());
         int colon = settings.listen().lastIndexOf(':');
@@ -81,7 +85,7 @@
         peers = new Peers(worker, io, Daemon::clockS, others, node::tellPeer, node::heardPeer,
                 node::peerRefused);
         peers.listen(settings.clusterListen());
-        LOG.info("{} listens on {}", settings.label(), settings.listen());
+        LOG.info("{} listens on {}: {}", settings.label(), settings.listen(), String.join("; ", sizes));
         io.execute(this::tick);
     }
 
--- a/src/main/java/org/mountlug/peer/Peers.java
+++ b/src/main/java/org/mountlug/peer/Peers.java
@@ -85,7 +85,7 @@
 
     private void serve(StreamConnection c) {
         // Each of the others has one connection, and perhaps a dead one not yet noticed.
-        if (accepted.size() >= 4 * Math.max(1, links.size())) {
+        if (accepted.size() >= Constants.PEER_ACCEPTED * Math.max(1, links.size())) {
             StreamConnection oldest = accepted.iterator().next();
             accepted.remove(oldest);
             IoUtils.safeClose(oldest);
--- a/src/main/java/org/mountlug/settings/Settings.java
+++ b/src/main/java/org/mountlug/settings/Settings.java
@@ -18,7 +18,7 @@
                        String cloud, String state, double skewMs, List<Team> teams, List<Objective> objectives,
                        double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS,
                        double stateRps, double stateWriteRps, double valueKb, int txnOps, double cloudRps,
-                       double listLagS, int fdLimit) {
+                       double listLagS, int fdLimit, double memMb) {
 
     public record Peer(String label, String endpoint) {}
 
@@ -82,7 +82,7 @@
                 w.positive("report_s"), w.positive("lease_s"), w.positive("gang_wait_s"), w.positive("gang_peer_s"),
                 w.positive("cancel_s"), s.positive("rps"), s.positive("write_rps"), s.positive("value_kb"),
                 (int) s.number("txn_ops", 1, Double.NaN), c.positive("rps"), c.number("list_lag_s", 0, Double.NaN),
-                (int) limits.number("fd_limit", 16, 1024));
+                (int) limits.number("fd_limit", 16, 1024), limits.number("mem_mb", 0, 0));
     }
 
     private static String firstLine(Exception e) {
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -157,7 +157,7 @@
             List<Settings.Peer> others = new ArrayList<>();
             for (int i = 0; i < count; i++) if (!label.equals("c-" + i)) others.add(new Settings.Peer("c-" + i, "x:1"));
             Settings s = new Settings(label, "a", "x:1", "x:2", others, "x:3", "x:4", 25, teams, List.of(), 2, leaseS,
-                    50, 6, CANCEL_S, 200, 25, 8, 8, 4, 10, 1000);
+                    50, 6, CANCEL_S, 200, 25, 8, 8, 4, 10, 1000, 360);
             Calls st = alive(mine, state.calls(() -> link));
             StateClient client = new StateClient(st, st, () -> now, 200, count);
             controller = new Controller(s, Operators.defaults(), client, alive(mine, World.this::cloud),
--- a/src/test/java/org/mountlug/settings/SettingsTest.java
+++ b/src/test/java/org/mountlug/settings/SettingsTest.java
@@ -49,6 +49,21 @@
         assertTrue(e.getMessage().startsWith(path + ":"), e.getMessage());
     }
 
+    /** What cannot be met ends the start with the field's name; what may not be met is said. */
+    @ParameterizedTest(name = "{0} sockets, {1} MB, heap {2} MB: {3}")
+    @CsvSource({"2509, 360, 112, sockets for 2", "1200, 205, 112, sockets for", "200, 360, 112, cluster.machine_limits.fd_limit",
+            "2509, 40, 112, cluster.machine_limits.mem_mb", "2509, 128, 112, may pass", "2509, 0, 112, sockets for"})
+    @SuppressWarnings("unchecked")
+    void sizesThatCannotBeMetAreSaidAtTheStart(long sockets, long mb, double heapMb, String said) throws Settings.Invalid {
+        Map<String, Object> m = good();
+        ((Map<String, Object>) m.get("cluster")).put("machine_limits", Map.of("fd_limit", sockets, "mem_mb", mb));
+        Settings s = Settings.of(m, Operators.defaults());
+        if (said.startsWith("cluster.")) {
+            Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Sizes.check(s, heapMb));
+            assertTrue(e.getMessage().startsWith(said + ":"), e.getMessage());
+        } else assertTrue(String.join("; ", Sizes.check(s, heapMb)).contains(said));
+    }
+
     @ParameterizedTest(name = "{0}.{1}")
     @CsvSource({"shares, t, -1", "log, format, xml", "machines, spot_risk, 0", "machins, a, 1"})
     void operatorsMistakesAreErrors(String table, String field, String value) {
