--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -210,6 +210,8 @@
 
     /** Sockets left for users; the load balancer gives a node some hundred at most, and refuses nobody above it. */
     public static final int USER_CONNECTIONS = 100;
+    /** Milliseconds after which a connection without a request is closed: workers report and users poll every 5 s. */
+    public static final int IDLE_CONNECTION_MS = 30_000;
     /** Files and other descriptors of the process: its archive, selectors, listening sockets. */
     public static final int OTHER_FILES = 40;
     /** MB that a controller takes before its first job, measured: 45 to 52. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -135,9 +135,8 @@
         double now = clockS.getAsDouble();
         double gap = now - lastTurnS;
         if (gap <= Constants.STANDSTILL_S) return;
-        if (!doubtful || now - wokeS > Constants.STANDSTILL_S) {
-            LOG.info("stood still for {} s", Math.round(gap * 10) / 10.0);
-        }
+        LOG.info("stood still for {} s", Math.round(gap * 10) / 10.0);
+        lastTurnS = now; // noticed once, by whichever looks first
         wokeS = now;
         doubtful = true;
         if (leader != null) leader.cluster().woke(now);
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -75,6 +75,8 @@
                         settings.listen().substring(0, colon))
                 .setHandler(new Api(node, new Users(node, state, settings, System::currentTimeMillis)))
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Constants.BODY_MAX * 2)
+                // A machine that dies or is cut off closes nothing; its connection would be held for as long as we run.
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .setSocketOption(Options.BACKLOG, 512)
