--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -125,6 +125,8 @@
     public static final double SLOW_MOST = 0.8;
     /** Sum of what is beyond the ordinary at which a machine is condemned: four tasks at half the speed in a row. */
     public static final double SLOW_CONDEMNED = 1.2;
+    /** Share of the machines that may be condemned at a time when another is for slowness: more is no fault of machines. */
+    public static final double SLOW_SHARE = 0.06;
     /** Failures in a row on one machine, of at least two different jobs, before it is quarantined. */
     public static final int SICK_FAILURES = 2;
     /** Characters of a record beside its tasks and names: numbers of the specification, failures, zones, keys. */
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -54,6 +54,8 @@
         }
     };
     private final Outcomes outcomes = new Outcomes();
+    /** Machines that were condemned and are still there, as of the last round. */
+    private int condemned;
     /** By class: the neediest accelerator job seen in this term. */
     private final Map<String, JobSpec> acceleratorNeeds = new HashMap<>();
     private double recordChars = 8 * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
@@ -524,7 +526,7 @@
         if (i.cause() == Cause.DONE) {
             drop(p);
             roomCameFree |= !reservations.isEmpty();
-            String why = outcomes.done(m, p, nowS);
+            String why = outcomes.done(m, p, machines.size(), condemned, nowS);
             if (why != null) note(why);
             if (j.spec.gang()) j.done.set(0, j.spec.tasks()); // a gang completes together
             else j.done.set(p.task);
@@ -561,6 +563,8 @@
      * may be keeping it alive, and nothing but our own answers renews it after.
      */
     public void expireLeases(double nowS) {
+        condemned = 0;
+        for (Machine m : machines.values()) if (m.sick) condemned++;
         double after = leaseS * (1 + Constants.DRIFT) + Constants.PROOF_MARGIN_S;
         for (Machine m : machines.values()) {
             if (!m.synced || Double.isNaN(m.answeredS) || nowS - m.answeredS <= after) continue;
--- a/src/test/java/org/mountlug/core/ElectionTest.java
+++ b/src/test/java/org/mountlug/core/ElectionTest.java
@@ -84,6 +84,20 @@
         assertEquals(Election.Step.LOOK, e.next(1.2));
     }
 
+    /** Who gives up drops the hold at once, and comes back only if nobody else has led meanwhile. */
+    @Test
+    void whoResignsLeavesTheCampaignToTheOthersForAWhile() {
+        win(1, 42);
+        e.resign(20);
+        assertFalse(e.leading());
+        assertEquals(Election.Step.DROP_OLD_HOLD, e.next(20));
+        e.oldHoldDropped(20.1);
+        assertEquals(Election.Step.LOOK, e.next(20.1));
+        e.looked(20.1, null, null, 0, 0, 0);
+        assertEquals(Election.Step.NONE, e.next(29.9));
+        assertEquals(Election.Step.OPEN_HOLD, e.next(30));
+    }
+
     @Test
     void anotherLeaderIsFollowed() {
         e.next(1);
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -601,6 +601,23 @@
         allDone(w, 1, 1, 400);
     }
 
+    /** What a new leader finds running began it does not know when: nothing that runs on after that is slow. */
+    @Test
+    void aNewLeaderTakesNoMachineForSlow() {
+        World w = new World(3);
+        w.capacity = 12;
+        w.runS = 12;
+        w.accept(id(1), 600, false, Map.of("dueS", 60.0));
+        assertTrue(w.until(60, () -> w.workers.size() == 12));
+        List<String> there = List.copyOf(w.workers.keySet());
+        assertTrue(w.until(30, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 48));
+        w.run(7);
+        w.leader().restartAfter(0.5);
+        w.run(100);
+        assertTrue(w.workers.keySet().containsAll(there), "all are kept");
+        allDone(w, 1, 1, 400);
+    }
+
     @Test
     void tokensGrowStrictlyFromTermToTerm() {
         World w = new World(3);
--- a/src/test/java/org/mountlug/peer/PeerTest.java
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -81,6 +81,25 @@
         assertEquals(ended, v.ended("y", what.equals("long ago") ? 20 : 10.6));
     }
 
+    @Test
+    void reportsElsewhereCountOnlyWhileTheyAreFresh() {
+        v.answered("y", 9, 9.1, new PeerCodec.Answer(1, 1, true, 3, 40, false, List.of()));
+        v.answered("z", 11, 11.1, new PeerCodec.Answer(2, 2, true, 3, 2, false, List.of()));
+        assertEquals(42, v.reportsElsewhere(11.5));
+        assertEquals(2, v.reportsElsewhere(13));
+        assertEquals(0, v.reportsElsewhere(20));
+    }
+
+    /** Who stood still trusts its belief again only once every peer has answered a question asked since. */
+    @ParameterizedTest(name = "asked at {0} and {1}, awake since 10: {2}")
+    @CsvSource({"9, 11, false", "11, 9, false", "10, 11, true"})
+    void allHaveAnsweredOnlyIfAskedSince(double y, double z, boolean all) {
+        answer("y", y, 1, false);
+        assertFalse(v.allAnsweredSince(10));
+        answer("z", z, 2, false);
+        assertEquals(all, v.allAnsweredSince(10));
+    }
+
     @Test
     void abortsAreToldForAWhile() {
         v.aborted("wk-000001", 5);
