--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -280,6 +280,15 @@
         if (j.over()) j.touch(nowS, true);
     }
 
+    /** What was decided of a job cannot be made durable: tasks that never had a start give back the room they hold. */
+    public void withdraw(Job j, double untilS) {
+        for (Placement p : new ArrayList<>(j.placed.values())) {
+            if (p.startSentIn >= 0 || p.startAtLarge || p.seen || j.durable(p.task, p.version)) continue;
+            drop(p);
+        }
+        j.pausedUntilS = untilS; // or others of its tasks would take the room at once
+    }
+
     /** Whether another machine has room for this replica now. */
     public boolean roomElsewhere(Placement p) {
         JobSpec s = p.job.spec;
--- a/src/main/java/org/mountlug/core/model/Job.java
+++ b/src/main/java/org/mountlug/core/model/Job.java
@@ -30,6 +30,9 @@
     /** Steady seconds before which a task is not tried again. */
     public final Int2DoubleOpenHashMap notBefore = new Int2DoubleOpenHashMap();
 
+    /** Steady seconds before which none of it is started, as what is decided of it cannot be written. */
+    public double pausedUntilS = Double.NEGATIVE_INFINITY;
+
     public long version;
     /** How many of the first tasks the job's own record holds; the others are in parts. */
     private int ownTasks = Integer.MAX_VALUE;
@@ -211,7 +214,7 @@
 
     /** Whether this task needs a place now. */
     public boolean wants(int task, double nowS) {
-        return !done.get(task) && !placed.containsKey(task) && notBefore.getOrDefault(task, 0.0) <= nowS;
+        return nowS >= pausedUntilS && !done.get(task) && !placed.containsKey(task) && notBefore.getOrDefault(task, 0.0) <= nowS;
     }
 
     public int placedIn(String zone) {
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -717,7 +717,10 @@
                 case 400 -> {
                     LOG.error("state service refused a change of {} jobs: {}", inFlight.size(), a.body());
                     refused(now);
-                    settled();
+                    if (unknown) { // an earlier copy may have been carried out before the limits were lowered
+                        waiting = true;
+                        readBack(new ArrayDeque<>(inFlight));
+                    } else settled();
                 }
                 case 429, 503 -> {
                     if (!unknown) settled(); // certainly not executed; what it held is still dirty
@@ -742,7 +745,9 @@
         if (inFlight.size() > 1 || !inFlight.isEmpty() && (reservationsInFlight != null || orphansInFlight > 0)) {
             oneByOne = Math.max(oneByOne, inFlight.size());
         } else if (inFlight.size() == 1) {
-            refusedUntil.put(inFlight.get(0).job.spec.id(), now + Constants.REFUSED_CHANGE_S);
+            Job j = inFlight.get(0).job;
+            refusedUntil.put(j.spec.id(), now + Constants.REFUSED_CHANGE_S);
+            if (!unknown) cluster.withdraw(j, now + Constants.REFUSED_CHANGE_S);
         } else {
             reservationsAgainS = now + Constants.REFUSED_CHANGE_S;
             orphans.clear(); // found again by the next leader
--- a/src/test/java/org/mountlug/api/JobParserTest.java
+++ b/src/test/java/org/mountlug/api/JobParserTest.java
@@ -8,6 +8,7 @@
 import org.mountlug.Samples;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Shape;
 import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
 
@@ -63,11 +64,21 @@
         assertEquals(Urgency.HIGH, s.urgency());
     }
 
-    @ParameterizedTest(name = "team {0}, gang {1}, {2} tasks of {3} CPUs: {4}")
-    @CsvSource({"t, false, 100, 4, ", "x, false, 1, 4, unknown team", "t, false, 1, 30, a task fits no allowed machine type",
-            "t, true, 3, 4, needs more than the team's limit", "t, true, 2, 4, "})
-    void whatCanNeverRun(String team, boolean gang, int tasks, double cpus, String why) {
-        JobSpec s = Samples.spec("wk-000001", gang, tasks, new Resources(cpus, 0, 1), Urgency.HIGH);
+    @ParameterizedTest(name = "{0}, {1} s")
+    @CsvSource({"array, 1, ARRAY", "group, 1, GANG", "daemon, 0, SERVICE", "daemon, 3600, SERVICE", "array, 0, ARRAY"})
+    void shapes(String said, double expectedS, Shape shape) throws JobParser.Malformed {
+        Map<String, Object> m = good();
+        m.put("shape", said);
+        m.put("expectedS", expectedS);
+        assertEquals(shape, JobParser.parse(m, 5).shape());
+    }
+
+    @ParameterizedTest(name = "team {0}, {1} of {2} tasks of {3} CPUs: {4}")
+    @CsvSource({"t, ARRAY, 100, 4, ", "x, ARRAY, 1, 4, unknown team", "t, ARRAY, 1, 30, a task fits no allowed machine type",
+            "t, GANG, 3, 4, needs more than the team's limit", "t, GANG, 2, 4, ",
+            "t, SERVICE, 3, 4, needs more than the team's limit", "t, SERVICE, 2, 4, "})
+    void whatCanNeverRun(String team, Shape shape, int tasks, double cpus, String why) {
+        JobSpec s = Samples.spec("wk-000001", shape, tasks, new Resources(cpus, 0, 1), Urgency.HIGH);
         Team t = new Team("t", 0, 8, 0, 0, 1);
         assertEquals(why, JobParser.hopeless(s, n -> team.equals("t") ? t : null, List.of(Samples.SMALL, Samples.GPU)));
     }
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -6,7 +6,9 @@
 import org.mountlug.Samples;
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
+import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Placement;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.core.model.Resources;
@@ -122,6 +124,33 @@
         assertEquals(2, j.placed.size());
     }
 
+    /** Replicas apart by zone and by machine, counting what is not proven gone; quota likewise. */
+    @ParameterizedTest(name = "silent machine {0}, team''s limit {1} CPUs: {2} placed")
+    @CsvSource({", 0, 3", "n-1, 0, 3", "n-3, 0, 2", ", 8, 1"})
+    void replicasAreSpread(String silent, double limit, int placed) {
+        Cluster c = Samples.cluster(new Team("t", 0, limit, 0, 0, 1));
+        for (int i = 1; i <= 4; i++) Samples.up(c, "n-" + i, "small", i < 3 ? "a" : "b");
+        JobSpec s = Samples.zones(Samples.spec("wk-000001", Shape.SERVICE, 6, new Resources(2, 0, 8), Urgency.PROD), false, true);
+        Job j = Samples.live(c, s);
+        for (int t = 0; t < 3; t++) c.place(j, t, 1, c.machines.get(t < 2 ? "n-1" : "n-2"), 0);
+        if (silent != null) c.machines.get(silent).synced = false;
+        assertEquals(placed, round(c, 1));
+        assertTrue(j.placedIn("a") <= 3 && j.placedIn("b") <= 3);
+        for (Machine m : c.machines.values()) assertTrue(m.placed.size() <= 2);
+    }
+
+    /** Beside accelerator work a replica takes only what no such work could use, however empty the machine is. */
+    @ParameterizedTest(name = "accelerator work of {0} CPUs: room for {1} replicas")
+    @CsvSource({"21, 3", "24, 0", "0, 0"})
+    void replicasLeaveAcceleratorsTheirCompanions(double cpus, int room) {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "gpu", "a");
+        if (cpus > 0) Samples.live(c, Samples.spec("wk-000001", true, 2, new Resources(cpus, 2, 77), Urgency.HIGH));
+        Job j = Samples.live(c, Samples.spec("wk-000002", Shape.SERVICE, 6, new Resources(1, 0, 2), Urgency.PROD));
+        round(c, 1);
+        assertEquals(room, j.placed.size());
+    }
+
     @Test
     void teamsAreServedInTurn() {
         Cluster c = Samples.cluster(new Team("t", 0, 0, 0, 0, 1), new Team("u", 0, 0, 0, 0, 1));
--- /dev/null
+++ b/src/test/java/org/mountlug/node/ServicesTest.java
@@ -0,0 +1,134 @@
+package org.mountlug.node;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mountlug.core.model.Cause;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Services: they come back after every kind of loss, run until called off, and are gone soon after. */
+class ServicesTest {
+    private static final String S = "wk-000001";
+    private static final Map<String, Object> SERVICE = Map.of("shape", "daemon", "urgency", "prod", "expectedS", 0.0,
+            "loaners", false);
+
+    private static Set<String> running(World w) {
+        Set<String> tasks = new HashSet<>();
+        for (World.Worker x : w.workers.values()) {
+            if (x.gone) continue;
+            for (World.Task t : x.tasks.values()) {
+                if (t.job.equals(S) && t.state == org.mountlug.core.model.TaskState.RUNNING) tasks.add(t.job + "/" + t.index);
+            }
+        }
+        return tasks;
+    }
+
+    private static World serving(int replicas) {
+        World w = new World(3);
+        w.accept(S, replicas, false, SERVICE);
+        assertTrue(w.until(40, () -> running(w).size() == replicas));
+        return w;
+    }
+
+    private static World.Worker holder(World w) {
+        return w.workers.values().stream().filter(x -> x.tasks.values().stream().anyMatch(t -> t.job.equals(S)))
+                .findFirst().orElseThrow();
+    }
+
+    /** Whatever a replica ends with, and whatever is lost under it, it runs again, once. */
+    @ParameterizedTest(name = "{0}, within {1} s")
+    @CsvSource({"done, 20", "stopped, 20", "error, 20", "machine dies, 40", "machine cut, 40", "machine sick, 90",
+            "leader ends, 30", "all end, 40", "all end for longer than a lease, 60", "outage, 60"})
+    void replicasReturn(String loss, double within) {
+        World w = serving(6);
+        World.Worker first = holder(w);
+        switch (loss) {
+            case "done", "stopped", "error" -> {
+                w.replicasEnd = Cause.valueOf(loss.toUpperCase());
+                assertTrue(w.until(30, () -> running(w).size() < 6));
+                w.replicasEnd = null;
+            }
+            case "machine dies" -> first.die();
+            case "machine cut" -> first.cut = true;
+            case "machine sick" -> first.sick = true;
+            case "leader ends" -> w.leader().restartAfter(6);
+            case "all end" -> w.nodes.forEach(n -> n.restartAfter(1));
+            case "all end for longer than a lease" -> w.nodes.forEach(n -> n.restartAfter(14));
+            default -> {
+                w.state.outage = true;
+                w.in(15, w.state::recover);
+            }
+        }
+        w.run(2);
+        // A machine that cannot be reached may go on for its lease; what it runs is not what counts.
+        assertTrue(w.until(within, () -> running(w).size() == 6 && (!loss.startsWith("machine") || first.tasks.isEmpty()
+                || first.gone)), () -> running(w) + " run after " + loss);
+        assertTrue(w.until(8, () -> "running".equals(w.status(S, 5))));
+        assertEquals(List.of(), w.broken());
+    }
+
+    /** Its user is told how many replicas run. */
+    @Test
+    void theNumberOfRunningReplicasIsTold() {
+        World w = serving(6);
+        assertTrue(w.until(10, () -> {
+            Map<String, Object> a = w.nodes.get(1).poll(S);
+            return a != null && Integer.valueOf(6).equals(a.get("running")) && "running".equals(a.get("status"));
+        }));
+    }
+
+    /** One that ends at once again and again is slowed, and takes nobody else's turn. */
+    @Test
+    void endingAtOnceAgainAndAgainIsSlowed() {
+        World w = new World(3);
+        w.faulty.add(S);
+        w.accept(S, 2, false, SERVICE);
+        w.accept("wk-000002", 8, false);
+        assertTrue(w.until(60, () -> w.status("wk-000002", 5).equals("done")));
+        w.run(60);
+        int starts = w.workers.values().stream().mapToInt(x -> x.starts).sum();
+        assertTrue(starts < 40, starts + " starts");
+        assertTrue(List.of("pending", "running").contains(w.status(S, 5)));
+        assertEquals(List.of(), w.broken());
+    }
+
+    /** Called off in the middle of anything, it is withdrawn, gone in time, and stays so. */
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {"quiet", "restart", "machine dies", "machine cut", "leader ends", "all end", "twice"})
+    void aServiceIsCalledOff(String amid) {
+        World w = serving(6);
+        World.Node asked = w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
+        switch (amid) {
+            case "restart" -> {
+                w.replicasEnd = Cause.ERROR;
+                assertTrue(w.until(30, () -> running(w).size() < 6));
+            }
+            case "machine dies" -> holder(w).die();
+            case "machine cut" -> holder(w).cut = true;
+            case "leader ends" -> w.leader().restartAfter(6);
+            case "all end" -> w.nodes.forEach(n -> n.restartAfter(0.5));
+            default -> {
+            }
+        }
+        if (amid.equals("all end")) w.run(2);
+        assertTrue(w.until(20, () -> {
+            Map<String, Object> a = asked.abort(S);
+            return a != null && "withdrawn".equals(a.get("status"));
+        }));
+        if (amid.equals("twice")) w.nodes.forEach(n -> n.abort(S));
+        w.run(World.CANCEL_S);
+        assertEquals(Set.of(), running(w));
+        assertEquals("withdrawn", w.status(S, 75));
+        w.run(30);
+        assertEquals(Set.of(), running(w));
+        assertEquals(List.of(), w.broken());
+    }
+}
--- a/src/test/java/org/mountlug/node/StateStandIn.java
+++ b/src/test/java/org/mountlug/node/StateStandIn.java
@@ -26,6 +26,11 @@
     private final World world;
     private final int opsMost;
     private final int valueMost;
+    /** The limits from now on, lowered without notice: beyond them a change gets 400. */
+    private int opsNow;
+    private int valueNow;
+    /** How many changes were refused for their size. */
+    int refused;
     private final TreeMap<String, Row> rows = new TreeMap<>();
     private final List<Entry> log = new ArrayList<>();
     private final Map<Long, double[]> holds = new TreeMap<>();
@@ -40,6 +45,8 @@
         this.world = world;
         this.opsMost = opsMost;
         this.valueMost = valueKb * 1024;
+        this.opsNow = opsMost;
+        this.valueNow = valueMost;
     }
 
     Calls calls(java.util.function.Supplier<Link> link) {
@@ -127,17 +134,23 @@
             if ((r == null ? 0 : r.stamp()) != Fields.num(g, "stamp", -1)) failed.add(g.get("k"));
         }
         List<Object> writes = Fields.list(body, "writes");
+        boolean small = true;
         if (writes.size() > opsMost) world.broken("transaction of " + writes.size() + " changes");
         if (Json.length(body) > 64 * 1024) world.broken("transaction over 64 KiB");
         for (Object o : writes) {
             Map<String, Object> w = Fields.map(o);
             int size = w.containsKey("put") ? Json.length(w.get("v")) : 0;
             largestValue = Math.max(largestValue, size);
+            if (size > valueNow) small = false;
             if (size > valueMost) world.broken("value of " + w.get("put") + " has " + size + " bytes");
             if (w.get("hold") instanceof Number h && !holds.containsKey(h.longValue())) {
                 return new Object[] {400, Map.of("error", "no such lease")};
             }
         }
+        if (!small || writes.size() > opsNow) {
+            refused++;
+            return new Object[] {400, Map.of("error", "too large")};
+        }
         if (!failed.isEmpty()) return new Object[] {409, Map.of("failed", failed, "epoch", epoch)};
         epoch++;
         for (Object o : writes) {
@@ -206,6 +219,16 @@
         look[0].run();
     }
 
+    void lower(double valueKb, int ops) {
+        valueNow = (int) (valueKb * 1024);
+        opsNow = ops;
+    }
+
+    /** Keys that begin so. */
+    List<String> keys(String prefix) {
+        return rows.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
+    }
+
     Object value(String key) {
         Row r = rows.get(key);
         return r == null ? null : r.value();
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -55,6 +55,10 @@
     int capacity = 40;
     /** Jobs that were submitted with a mistake: their tasks fail everywhere. */
     final java.util.Set<String> faulty = new java.util.HashSet<>();
+    /** Services, whose replicas run until they are stopped. */
+    final java.util.Set<String> services = new java.util.HashSet<>();
+    /** How the next so many seconds-old replicas of a service end by themselves, if they do. */
+    Cause replicasEnd;
     boolean cloudDown;
     /** Whether a filter refuses connections between controllers. */
     boolean peersRefuse;
@@ -82,9 +86,19 @@
     }
 
     World(int controllers, List<Team> teams, double leaseS) {
+        this(controllers, teams, leaseS, false, 8, 8);
+    }
+
+    /** @param old whether the controllers begin with the version in production, as far as data decides it */
+    World(int controllers, List<Team> teams, double leaseS, boolean old, double leastValueKb, int txnOps) {
         this.leaseS = leaseS;
+        this.leastValueKb = leastValueKb;
+        this.txnOps = txnOps;
         state = new StateStandIn(this, 8, 8);
-        for (int i = 0; i < controllers; i++) nodes.add(new Node("c-" + i, controllers, teams));
+        for (int i = 0; i < controllers; i++) {
+            nodes.add(new Node("c-" + i, controllers, teams));
+            nodes.get(i).old = old;
+        }
         for (Node n : nodes) n.boot();
     }
 
@@ -142,6 +156,8 @@
         /** The start of a path: it stands still for so long just between deciding on such a call and sending it. */
         String freezeAt;
         double freezeForS;
+        /** Whether its next process is of the version in production: it says nothing of itself and knows no newer field. */
+        boolean old;
         Controller controller;
         Users users;
 
@@ -161,7 +177,7 @@
             for (int i = 0; i < count; i++) if (!label.equals("c-" + i)) others.add(new Settings.Peer("c-" + i, "x:1"));
             Settings s = new Settings(label, "a", "x:1", "x:2", others, "x:3", "x:4", 25, teams, List.of(), 2, leaseS,
                     50, 6, CANCEL_S, 200, 25, 8, leastValueKb, txnOps, 4, 10, 1000, 360);
-            Calls st = alive(mine, state.calls(() -> link));
+            Calls st = alive(mine, old ? asProduction(state.calls(() -> link)) : state.calls(() -> link));
             StateClient client = new StateClient(st, st, () -> now, 200, count);
             controller = new Controller(s, Operators.defaults(), client, alive(mine, World.this::cloud),
                     a -> alive(mine, commands(a, this)), () -> now,
@@ -201,6 +217,42 @@
             in(0.5, ask[0]);
         }
 
+        /** Records come as production would see them, what it does not know left out, and it writes nothing of itself. */
+        private Calls asProduction(Calls c) {
+            return (method, path, body, ms, then) -> {
+                for (Object o : Fields.list(body == null ? Map.of() : body, "writes")) {
+                    if (String.valueOf(Fields.map(o).get("put")).startsWith("v/")) {
+                        in(0.002, () -> then.accept(new Http.Answer(200, Map.of(), true)));
+                        return;
+                    }
+                }
+                c.call(method, path, body, ms, a -> {
+                    if (path.startsWith("/kv/j/")) known(a.body(), "v");
+                    for (String list : List.of("rows", "news")) {
+                        for (Object o : Fields.list(a.body(), list)) {
+                            Map<String, Object> r = Fields.map(o);
+                            String k = Fields.str(r, "k", Fields.str(r, "put", ""));
+                            if (k.startsWith("j/")) known(r, "v");
+                            if (k.startsWith("p/")) broken("parts while " + label + " cannot read them");
+                        }
+                    }
+                    then.accept(a);
+                });
+            };
+        }
+
+        private void known(Map<String, Object> m, String k) {
+            if (!(m.get(k) instanceof Map)) return;
+            if (Fields.map(m.get(k)).containsKey("K")) broken("a record with parts while " + label + " cannot read them");
+            m.put(k, org.mountlug.store.ProductionTest.throughProduction(Fields.map(m.get(k))));
+        }
+
+        /** Ends, and comes back with the new version. */
+        void upgradeAfter(double s) {
+            old = false;
+            restartAfter(s);
+        }
+
         /** An answer that comes after the process has ended reaches nobody. */
         private Calls alive(int mine, Calls c) {
             return (method, path, body, ms, then) -> {
@@ -282,6 +334,7 @@
             m.put("bookmarkS", 0.0);
             m.put("stashS", 0.0);
             m.putAll(more);
+            if ("daemon".equals(m.get("shape"))) services.add(id);
             sizes.put(id, tasks);
             gangs.put(id, gang);
             byte[] body = Cbor.write(m);
@@ -467,9 +520,10 @@
                 if (t.state != TaskState.RUNNING) continue;
                 t.ranS += 0.1 / slow;
                 boolean fails = sick || faulty.contains(t.job);
-                if (fails || t.ranS >= runS) {
+                boolean service = services.contains(t.job);
+                if (fails || t.ranS >= runS && (!service || replicasEnd != null)) {
                     t.state = TaskState.EXITED;
-                    t.cause = fails ? Cause.ERROR : Cause.DONE;
+                    t.cause = fails ? Cause.ERROR : service ? replicasEnd : Cause.DONE;
                     changed = true;
                 }
             }
--- a/src/test/java/org/mountlug/settings/SettingsTest.java
+++ b/src/test/java/org/mountlug/settings/SettingsTest.java
@@ -36,12 +36,16 @@
     @SuppressWarnings("unchecked")
     @ParameterizedTest(name = "{0} = {1}")
     @CsvSource({"label, ", "listen, nowhere", "listen, 10.0.0.1:99999", "endpoints.state, ", "cluster.workers.lease_s, ",
-            "cluster.workers.lease_s, 0", "cluster.state.txn_ops, 0", "cluster.cloud.rps, fast"})
+            "cluster.workers.lease_s, 0", "cluster.state.txn_ops, 0", "cluster.cloud.rps, fast",
+            "cluster.state.next, 5", "cluster.state.next.value_kb, 0", "cluster.state.next.txn_ops, many"})
     void theBadFieldIsNamed(String path, String value) {
         Map<String, Object> m = good();
         String[] p = path.split("\\.");
         Map<String, Object> at = m;
-        for (int i = 0; i < p.length - 1; i++) at = (Map<String, Object>) at.get(p[i]);
+        for (int i = 0; i < p.length - 1; i++) {
+            at.computeIfAbsent(p[i], k -> new HashMap<>());
+            at = (Map<String, Object>) at.get(p[i]);
+        }
         Object v = value;
         if (value != null && value.matches("\\d+")) v = Long.parseLong(value);
         at.put(p[p.length - 1], v);
@@ -49,6 +53,22 @@
         assertTrue(e.getMessage().startsWith(path + ":"), e.getMessage());
     }
 
+    /** Of the limits that hold now and those to come the smaller ones count; any of the latter may be left out. */
+    @ParameterizedTest(name = "next: {0} = {1}")
+    @CsvSource({", 0, 200, 25, 8, 8", "rps, 90, 90, 25, 8, 8", "write_rps, 18, 200, 18, 8, 8", "value_kb, 2, 200, 25, 2, 8",
+            "txn_ops, 4, 200, 25, 8, 4", "value_kb, 16, 200, 25, 8, 8", "colour, 1, 200, 25, 8, 8"})
+    @SuppressWarnings("unchecked")
+    void theSmallerLimitsCount(String field, long value, double rps, double writes, double kb, int ops)
+            throws Settings.Invalid {
+        Map<String, Object> m = good();
+        Map<String, Object> state = new HashMap<>(Map.of("rps", 200L, "write_rps", 25L, "value_kb", 8L, "txn_ops", 8L));
+        if (field != null) state.put("next", Map.of(field, value));
+        ((Map<String, Object>) m.get("cluster")).put("state", state);
+        Settings s = Settings.of(m, Operators.defaults());
+        assertEquals(List.of(rps, writes, kb, 8.0, (double) ops), List.of(s.stateRps(), s.stateWriteRps(), s.leastValueKb(),
+                s.valueKb(), (double) s.txnOps()));
+    }
+
     /** What cannot be met ends the start with the field's name; what may not be met is said. */
     @ParameterizedTest(name = "{0} sockets, {1} MB, heap {2} MB: {3}")
     @CsvSource({"2509, 360, 112, sockets for 2", "1200, 205, 112, sockets for", "200, 360, 112, cluster.machine_limits.fd_limit",
--- a/src/test/java/org/mountlug/store/ProductionTest.java
+++ b/src/test/java/org/mountlug/store/ProductionTest.java
@@ -34,7 +34,7 @@
  * What the version in production wrote, byte for byte as its own codecs wrote it, is read; and what is written now
  * survives that it reads a record, drops what it does not know, and writes it back.
  */
-class ProductionTest {
+public class ProductionTest {
     static byte[] bytes(String name) throws IOException {
         try (InputStream in = ProductionTest.class.getResourceAsStream("/production/" + name)) {
             return in.readAllBytes();
