--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -107,11 +107,18 @@
     /** Seconds before a refused start (no room, busy, unknown) is tried again. */
     public static final double REFUSED_RETRY_S = 2.0;
     /** Seconds of a later start that one fewer replica of the same service on a machine is worth. */
-    public static final double REPLICAS_APART_S = 1.5;
+    public static final double REPLICAS_APART_S = 0.3;
+    /** Seconds from a round to a replica that runs, beside the fetch: a write, a message, the worker's own start. */
+    public static final double START_S = 1;
+    /** What a second of fetching counts up to when a replica should run, and from then on. */
+    public static final double EARLIER_WORTH = 0.2;
+    public static final double LATER_COST = 4;
+    /** Seconds from its submission in which a service takes cheap machines only. */
+    public static final double CHEAP_FIRST_S = 1.2;
     /** Part of a fetch still to wait for when another task on the machine waits for the same image. */
     public static final double FETCH_SHARED = 0.6;
     /** Seconds of a later start that keeping a replica off a dear machine is worth: it would keep it from being returned. */
-    public static final double BESIDE_ACCELERATORS_S = 3;
+    public static final double BESIDE_ACCELERATORS_S = 6;
     /** Seconds of a later start for which a replica is not tried again where it last ended by itself. */
     public static final double ENDED_HERE_S = 60;
     /** Seconds of the past in which the services asked for tell how much room to keep for the next ones. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -26,14 +26,17 @@
 public final class Allocator {
     private final Cluster cluster;
     private final ToDoubleFunction<Job> dueOrder;
+    /** Seconds from its submission within which a service's replicas should run. */
+    private final ToDoubleFunction<Job> serviceWithin;
     private final double nowS;
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Resources> usage;
     private final Resources whole;
     private int placedCount;
 
-    public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, double nowS) {
+    public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, ToDoubleFunction<Job> serviceWithin, double nowS) {
         this.cluster = cluster;
+        this.serviceWithin = serviceWithin;
         this.dueOrder = dueOrder;
         this.nowS = nowS;
         this.usage = cluster.usage();
@@ -485,6 +488,8 @@
                 if (m.heldFor != null || !spec.allows(m.type.name(), m.zone, m.spot)) continue;
                 if (only != null && !only.equals(m.zone)) continue;
                 if (spec.apart() && perZone.getOrDefault(m.zone, 0) >= spec.zoneMost()) continue;
+                // Room on a cheap machine, made by stopping what ends anyway, is worth a moment.
+                if (spec.need().gpus() == 0 && m.type.size().gpus() > 0 && nowS - j.seenS < Constants.CHEAP_FIRST_S) continue;
                 if (n.countBeside(spec.need()) < 1) continue;
                 double c = replicaCost(j, t, n) + Constants.REPLICAS_APART_S * perMachine.getOrDefault(m.name, 0);
                 if (c < least || c == least && m.name.compareTo(best.machine.name) < 0) {
@@ -506,18 +511,23 @@
         }
     }
 
-    /** Lower is better: seconds until it should run, and what its place costs others. */
+    /**
+     * Lower is better. Seconds count little up to when the replica should run, and much from then on; what it costs to
+     * keep a dear machine for it lies between, as a replica stays for as long as its user wishes.
+     */
     private double replicaCost(Job j, int task, Node n) {
         Machine m = n.machine;
-        double c = 0;
+        double fetch = 0;
         if (!m.images.contains(j.spec.image())) {
-            c = j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
+            fetch = j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
             for (Placement p : m.placed.values()) {
                 if (!p.job.spec.image().equals(j.spec.image())) continue;
-                c *= Constants.FETCH_SHARED; // that one's fetch is under way, and one serves both
+                fetch *= Constants.FETCH_SHARED; // that one's fetch is under way, and one serves both
                 break;
             }
         }
+        double late = nowS - j.seenS + fetch + Constants.START_S - serviceWithin.applyAsDouble(j);
+        double c = fetch * Constants.EARLIER_WORTH + Math.max(0, Math.min(fetch + Constants.START_S, late)) * Constants.LATER_COST;
         if (j.spec.need().gpus() == 0 && m.type.size().gpus() > 0) c += Constants.BESIDE_ACCELERATORS_S;
         if (m.name.equals(j.avoid.get(task))) c += Constants.ENDED_HERE_S;
         return c + 2 * (1 - n.busyShare()) + 5 * m.failures;
--- a/src/main/java/org/mountlug/core/model/Aims.java
+++ b/src/main/java/org/mountlug/core/model/Aims.java
@@ -9,7 +9,7 @@
     private static final double UNSTATED_S = 300;
 
     /** Seconds from submission within which a service should run whose class has no aim. */
-    private static final double SERVICE_S = 10;
+    private static final double SERVICE_S = 8;
     /** Multiple of the time allowed up to which a late job is still worth more than a hopeless one. */
     private static final double LATE_FACTOR = 1.5;
     /** More seconds than any two due times differ by. */
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -149,6 +149,7 @@
         double least = Double.MAX_VALUE;
         for (Node n : nodes.values()) {
             if (!may(j, n, zone) || !s.need().fitsIn(n.machine.type.size())) continue;
+            if (s.service() && s.need().gpus() == 0 && n.machine.type.size().gpus() > 0) continue;
             if (s.apart() && !j.zoneAllows(n.machine.zone, 1 + perZone.getOrDefault(n.machine.zone, 0))) continue;
             List<Placement> may = new ArrayList<>();
             for (Placement p : n.machine.placed.values()) {
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -554,7 +554,8 @@
         cluster.reviewStandbys(now);
         scaler.drain(now);
         double epochS = epochMs.getAsLong() / 1000.0;
-        Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS), now);
+        Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS),
+                j -> aims.withinS(j.spec, 0), now);
         int placed = round.round();
         metrics.placed(placed);
         List<Job> unplaced = new ArrayList<>();
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -27,7 +27,7 @@
     private static final Resources WHOLE_GPU = new Resources(20, 2, 60);
 
     private static int round(Cluster c, double now) {
-        return new Allocator(c, j -> j.spec.submittedMs(), now).round();
+        return new Allocator(c, j -> j.spec.submittedMs(), j -> 8, now).round();
     }
 
     @Test
@@ -147,7 +147,7 @@
         Samples.up(c, "n-1", "gpu", "a");
         if (cpus > 0) Samples.live(c, Samples.spec("wk-000001", true, 2, new Resources(cpus, 2, 77), Urgency.HIGH));
         Job j = Samples.live(c, Samples.spec("wk-000002", Shape.SERVICE, 6, new Resources(1, 0, 2), Urgency.PROD));
-        round(c, 1);
+        round(c, 5);
         assertEquals(room, j.placed.size());
     }
 
