--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -117,8 +117,12 @@
     public static final double CHEAP_FIRST_S = 1.2;
     /** Part of a fetch still to wait for when another task on the machine waits for the same image. */
     public static final double FETCH_SHARED = 0.6;
-    /** Seconds of a later start that keeping a replica off a dear machine is worth: it would keep it from being returned. */
-    public static final double BESIDE_ACCELERATORS_S = 6;
+    /**
+     * What keeping a machine for a first replica counts, for each time that its price is that of the cheapest type, and
+     * at the most: a replica stays for minutes, and its machine cannot be returned meanwhile.
+     */
+    public static final double KEPT_S = 0.25;
+    public static final double KEPT_MOST_S = 6;
     /** Seconds of a later start for which a replica is not tried again where it last ended by itself. */
     public static final double ENDED_HERE_S = 60;
     /** Seconds of the past in which the services asked for tell how much room to keep for the next ones. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -32,6 +32,7 @@
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Resources> usage;
     private final Resources whole;
+    private final double cheapestPrice;
     private int placedCount;
 
     public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, ToDoubleFunction<Job> serviceWithin, double nowS) {
@@ -47,6 +48,9 @@
             w = w.plus(m.type.size());
         }
         whole = w;
+        double least = Double.MAX_VALUE;
+        for (MachineType t : cluster.types()) least = Math.min(least, t.price());
+        cheapestPrice = Math.max(least, 1e-6);
     }
 
     public Map<String, Node> nodes() {
@@ -528,7 +532,10 @@
         }
         double late = nowS - j.seenS + fetch + Constants.START_S - serviceWithin.applyAsDouble(j);
         double c = fetch * Constants.EARLIER_WORTH + Math.max(0, Math.min(fetch + Constants.START_S, late)) * Constants.LATER_COST;
-        if (j.spec.need().gpus() == 0 && m.type.size().gpus() > 0) c += Constants.BESIDE_ACCELERATORS_S;
+        boolean first = true;
+        for (Placement p : m.placed.values()) first &= !p.job.spec.service();
+        // The first replica keeps the whole machine from being returned; those that join it cost nothing more.
+        if (first) c += Math.min(Constants.KEPT_MOST_S, m.type.price(m.spot) / cheapestPrice * Constants.KEPT_S);
         if (m.name.equals(j.avoid.get(task))) c += Constants.ENDED_HERE_S;
         return c + 2 * (1 - n.busyShare()) + 5 * m.failures;
     }
