--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -110,6 +110,12 @@
     public static final double REPLICAS_APART_S = 0.3;
     /** Seconds from a round to a replica that runs, beside the fetch: a write, a message, the worker's own start. */
     public static final double START_S = 1;
+    /** Replicas from which on one may be late for the sake of the next services of its image. */
+    public static final int WARMING_TASKS = 4;
+    /** Cheap machines that should have an image of services: one may be lost. */
+    public static final int WARM_PLACES = 2;
+    /** How much longer than reckoned a fetch may take: rates differ by a third. */
+    public static final double FETCH_SLOW = 1.33;
     /** What a second of fetching counts up to when a replica should run, and from then on. */
     public static final double EARLIER_WORTH = 0.2;
     public static final double LATER_COST = 4;
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -26,8 +26,7 @@
 public final class Allocator {
     private final Cluster cluster;
     private final ToDoubleFunction<Job> dueOrder;
-    /** Seconds from its submission within which a service's replicas should run. */
-    private final ToDoubleFunction<Job> serviceWithin;
+    private final ReplicaTimes times;
     private final double nowS;
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Resources> usage;
@@ -35,9 +34,9 @@
     private final double cheapestPrice;
     private int placedCount;
 
-    public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, ToDoubleFunction<Job> serviceWithin, double nowS) {
+    public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, ReplicaTimes times, double nowS) {
         this.cluster = cluster;
-        this.serviceWithin = serviceWithin;
+        this.times = times;
         this.dueOrder = dueOrder;
         this.nowS = nowS;
         this.usage = cluster.usage();
@@ -482,18 +481,21 @@
             if (spec.oneZone()) only = p.zone;
         }
         Statement s = new Statement(j);
+        Node warm = j.placed.isEmpty() && spec.tasks() >= Constants.WARMING_TASKS ? warming(j) : null;
         for (int t = 0; t < spec.tasks() && budget > 0; t++) {
             if (!j.wants(t, nowS)) continue;
             if (team != null && !team.allows(used.plus(spec.need()))) break;
             Node best = null;
+            if (warm != null && t == spec.tasks() - 1 && (!spec.apart()
+                    || perZone.getOrDefault(warm.machine.zone, 0) < spec.zoneMost())) best = warm;
             double least = Double.MAX_VALUE;
-            for (Node n : nodes.values()) {
+            if (best == null) for (Node n : nodes.values()) {
                 Machine m = n.machine;
                 if (m.heldFor != null || !spec.allows(m.type.name(), m.zone, m.spot)) continue;
                 if (only != null && !only.equals(m.zone)) continue;
                 if (spec.apart() && perZone.getOrDefault(m.zone, 0) >= spec.zoneMost()) continue;
                 // Room on a cheap machine, made by stopping what ends anyway, is worth a moment.
-                if (spec.need().gpus() == 0 && m.type.size().gpus() > 0 && nowS - j.seenS < Constants.CHEAP_FIRST_S) continue;
+                if (times.mayWait(j) && (spec.need().gpus() == 0 && m.type.size().gpus() > 0 || times.lateS(j, m) > 0)) continue;
                 if (n.countBeside(spec.need()) < 1) continue;
                 double c = replicaCost(j, t, n) + Constants.REPLICAS_APART_S * perMachine.getOrDefault(m.name, 0);
                 if (c < least || c == least && m.name.compareTo(best.machine.name) < 0) {
@@ -515,23 +517,39 @@
         }
     }
 
+    /**
+     * Where every cheap machine would make an image's first replicas late, all of them would go to dear ones, and so
+     * would those of the next service, as no cheap machine ever got the image. So one replica of many goes to the
+     * cheapest place a replica that holds most of them, late as it is, until two such machines have the image.
+     */
+    private Node warming(Job j) {
+        JobSpec s = j.spec;
+        if (s.oneZone() || s.need().gpus() > 0) return null;
+        Node best = null;
+        int most = 0;
+        int warm = 0;
+        for (Node n : nodes.values()) {
+            Machine m = n.machine;
+            if (m.type.size().gpus() > 0 || m.heldFor != null || !s.allows(m.type.name(), m.zone, m.spot)) continue;
+            int holds = s.need().countIn(m.type.size());
+            if (times.lateS(j, m) <= 0 && !m.images.contains(s.image())) return null; // cold ones are no trouble
+            if (times.fetchS(j, m) < s.imageGb() / Math.max(0.01, m.type.fetchGbPerS())) {
+                if (holds >= s.tasks()) warm++;
+            } else if (holds > most && n.countBeside(s.need()) > 0) {
+                most = holds;
+                best = n;
+            }
+        }
+        return warm < Constants.WARM_PLACES ? best : null;
+    }
+
     /**
      * Lower is better. Seconds count little up to when the replica should run, and much from then on; what it costs to
      * keep a dear machine for it lies between, as a replica stays for as long as its user wishes.
      */
     private double replicaCost(Job j, int task, Node n) {
         Machine m = n.machine;
-        double fetch = 0;
-        if (!m.images.contains(j.spec.image())) {
-            fetch = j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
-            for (Placement p : m.placed.values()) {
-                if (!p.job.spec.image().equals(j.spec.image())) continue;
-                fetch *= Constants.FETCH_SHARED; // that one's fetch is under way, and one serves both
-                break;
-            }
-        }
-        double late = nowS - j.seenS + fetch + Constants.START_S - serviceWithin.applyAsDouble(j);
-        double c = fetch * Constants.EARLIER_WORTH + Math.max(0, Math.min(fetch + Constants.START_S, late)) * Constants.LATER_COST;
+        double c = times.fetchS(j, m) * Constants.EARLIER_WORTH + times.lateS(j, m) * Constants.LATER_COST;
         boolean first = true;
         for (Placement p : m.placed.values()) first &= !p.job.spec.service();
         // The first replica keeps the whole machine from being returned; those that join it cost nothing more.
--- /dev/null
+++ b/src/main/java/org/mountlug/core/allocate/ReplicaTimes.java
@@ -0,0 +1,38 @@
+package org.mountlug.core.allocate;
+
+import org.mountlug.Constants;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Placement;
+
+import java.util.function.ToDoubleFunction;
+
+/**
+ * When a replica would run if it were started on a machine now: fetching its image takes most of it.
+ *
+ * @param within seconds from its submission within which a service should run
+ */
+public record ReplicaTimes(ToDoubleFunction<Job> within, double nowS) {
+
+    /** Seconds until the image is there. */
+    public double fetchS(Job j, Machine m) {
+        if (m.images.contains(j.spec.image())) return 0;
+        double fetch = j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
+        for (Placement p : m.placed.values()) {
+            // That one's fetch is under way, and one serves both.
+            if (p.job.spec.image().equals(j.spec.image())) return fetch * Constants.FETCH_SHARED;
+        }
+        return fetch;
+    }
+
+    /** Seconds by which it would be late, reckoned with a slow fetch; none of them for what has already gone by. */
+    public double lateS(Job j, Machine m) {
+        double takes = fetchS(j, m) * Constants.FETCH_SLOW + Constants.START_S;
+        return Math.max(0, Math.min(takes, nowS - j.seenS + takes - within.applyAsDouble(j)));
+    }
+
+    /** Whether there may yet be a better place than a dear machine or one that makes it late. */
+    public boolean mayWait(Job j) {
+        return nowS - j.seenS < Constants.CHEAP_FIRST_S;
+    }
+}
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -2,6 +2,7 @@
 
 import org.mountlug.Constants;
 import org.mountlug.core.allocate.Node;
+import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
@@ -28,12 +29,15 @@
 
     private final Cluster cluster;
     private final Map<String, Double> lastFor = new HashMap<>();
+    private ReplicaTimes times;
 
     public Preemptor(Cluster cluster) {
         this.cluster = cluster;
     }
 
-    public void round(Collection<Job> unplaced, Map<String, Node> nodes, Map<String, Resources> usage, double nowS) {
+    public void round(Collection<Job> unplaced, Map<String, Node> nodes, Map<String, Resources> usage, ReplicaTimes times,
+                      double nowS) {
+        this.times = times;
         lastFor.keySet().removeIf(id -> !cluster.jobs.containsKey(id));
         Map<String, Resources> left = null;
         for (Job j : unplaced) {
@@ -150,6 +154,7 @@
         for (Node n : nodes.values()) {
             if (!may(j, n, zone) || !s.need().fitsIn(n.machine.type.size())) continue;
             if (s.service() && s.need().gpus() == 0 && n.machine.type.size().gpus() > 0) continue;
+            if (s.service() && times.mayWait(j) && times.lateS(j, n.machine) > 0) continue;
             if (s.apart() && !j.zoneAllows(n.machine.zone, 1 + perZone.getOrDefault(n.machine.zone, 0))) continue;
             List<Placement> may = new ArrayList<>();
             for (Placement p : n.machine.placed.values()) {
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -3,6 +3,7 @@
 import org.mountlug.Constants;
 import org.mountlug.cloud.CloudCodec;
 import org.mountlug.core.allocate.Allocator;
+import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.agent.AgentCodec;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
@@ -554,15 +555,16 @@
         cluster.reviewStandbys(now);
         scaler.drain(now);
         double epochS = epochMs.getAsLong() / 1000.0;
+        ReplicaTimes times = new ReplicaTimes(j -> aims.withinS(j.spec, 0), now);
         Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS),
-                j -> aims.withinS(j.spec, 0), now);
+                times, now);
         int placed = round.round();
         metrics.placed(placed);
         List<Job> unplaced = new ArrayList<>();
         for (Job j : cluster.jobs.values()) if (!j.cancelled && j.open() > 0) unplaced.add(j);
         unplaced.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, j.spec.expectedS())));
-        preemptor.round(unplaced, round.nodes(), round.usage(), now);
+        preemptor.round(unplaced, round.nodes(), round.usage(), times, now);
         if (now < rentAgainS) rentals.clear();
         // Until the first list a new leader does not know of the idle machines, and would rent them all again.
         if (listed && rentals.isEmpty() && renting == 0 && now >= rentAgainS) {
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mountlug.Samples;
 import org.mountlug.core.allocate.Allocator;
+import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
@@ -27,7 +28,7 @@
     private static final Resources WHOLE_GPU = new Resources(20, 2, 60);
 
     private static int round(Cluster c, double now) {
-        return new Allocator(c, j -> j.spec.submittedMs(), j -> 8, now).round();
+        return new Allocator(c, j -> j.spec.submittedMs(), new ReplicaTimes(j -> 8, now), now).round();
     }
 
     @Test
--- a/src/test/java/org/mountlug/core/PreemptorTest.java
+++ b/src/test/java/org/mountlug/core/PreemptorTest.java
@@ -4,6 +4,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mountlug.Samples;
 import org.mountlug.core.allocate.Allocator;
+import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
@@ -43,15 +44,15 @@
             Samples.up(c, "n-" + i, "gpu", "a");
             victims.add(Samples.live(c, of("wk-10000" + i, "u", theirs)));
         }
-        new Allocator(c, j -> 0, j -> 8, 1).round();
+        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         Job gang = Samples.live(c, of("wk-000002", "t", mine));
-        Allocator round = new Allocator(c, j -> 0, j -> 8, 2);
+        Allocator round = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 2), 2);
         round.round();
-        new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), 2);
+        new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), new ReplicaTimes(j -> 8, 2), 2);
         assertEquals(stopped ? 1 : 0, victims.stream().filter(v -> v.placed.get(0).stopping).count());
         if (!stopped) return;
         // The room counts as releasing, so the next round reserves it for the gang.
-        new Allocator(c, j -> 0, j -> 8, 3).round();
+        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
         assertEquals(1, c.reservations.get("wk-000002").size());
     }
 
@@ -67,15 +68,15 @@
             victims.add(Samples.live(c, new JobSpec(s.id(), s.lane(), s.team(), Shape.GANG, s.urgency(), tasks, s.need(), null,
                     null, false, false, true, "img", 1, 30, 15, 3, Double.NaN, 0)));
         }
-        new Allocator(c, j -> 0, j -> 8, 1).round();
+        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         List<Job> mine = new ArrayList<>();
         for (int i = 0; i < waiting; i++) mine.add(Samples.live(c, of("wk-20000" + i, "t", Urgency.STANDARD)));
         Preemptor p = new Preemptor(c);
         for (int round = 0; round < 4; round++) {
             double now = 2 + 4 * round;
-            Allocator a = new Allocator(c, j -> 0, j -> 8, now);
+            Allocator a = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, now), now);
             a.round();
-            p.round(mine, a.nodes(), a.usage(), now);
+            p.round(mine, a.nodes(), a.usage(), new ReplicaTimes(j -> 8, now), now);
         }
         assertEquals(stopped, victims.stream().flatMap(v -> v.placed.values().stream()).filter(q -> q.stopping).count());
     }
@@ -90,15 +91,15 @@
             Samples.up(c, "n-" + i, "gpu", "a");
             all.add(Samples.live(c, of("wk-10000" + i, "t", i < low ? Urgency.IDLE : Urgency.HIGH)));
         }
-        new Allocator(c, j -> 0, j -> 8, 1).round();
+        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         for (int i = 0; i < idle; i++) Samples.up(c, "n-9" + i, "gpu", "a");
         JobSpec s = Samples.zones(Samples.spec("wk-000002", true, tasks, new Resources(20, 2, 60), Urgency.HIGH), true, false);
         Job gang = Samples.live(c, s);
-        Allocator round = new Allocator(c, j -> 0, j -> 8, 2);
+        Allocator round = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 2), 2);
         round.round();
-        new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), 2);
+        new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), new ReplicaTimes(j -> 8, 2), 2);
         assertEquals(stopped, all.stream().filter(v -> v.placed.get(0).stopping).count());
-        new Allocator(c, j -> 0, j -> 8, 3).round();
+        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
         assertEquals(stopped > 0, c.reservations.containsKey("wk-000002"));
     }
 }
