Revert the waiting for zones that come back

There a leader loses its workers, all zones fall silent at once, and machines that are cut off for good are counted on for 20 s more. A version that only waits where other zones are heard is not tried.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -230,8 +230,6 @@
     public static final double SILENT_RELEASE_S = 6.0;
     /** More seconds for which machines of a zone that is silent as a whole are kept: a cut ends, a boot is paid for. */
     public static final double SILENT_ZONE_S = 150;
-    /** Seconds after a zone's silence in which its last machines may yet be heard: workers try each node for 5 s. */
-    public static final double SILENT_ZONE_BACK_S = 20;
     /** Seconds an idle machine is kept; a rental costs a boot time and at least 60 s. */
     public static final double IDLE_KEEP_S = 20.0;
     /** Seconds of work that a machine must promise before it is rented, at the least. */
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -34,8 +34,6 @@
     private final double spotRisk;
     /** Kinds of machine that were refused, with the steady seconds until which they are not asked for. */
     private final Map<String, Double> exhausted = new HashMap<>();
-    /** By zone that was silent: the steady seconds until which its machines are still waited for. */
-    private final Map<String, Double> silentUntilS = new HashMap<>();
     private long counter;
 
     public Scaler(Cluster cluster, Aims aims, double leaseS, double reportS, double idleKeepS, double spotRisk) {
@@ -375,11 +373,6 @@
         // When most are silent it is more likely us who cannot hear.
         boolean trustSilence = silent * 2 <= up || up <= 2;
         Set<String> silentZones = silentZones(nowS);
-        for (String z : silentZones) silentUntilS.put(z, nowS + Constants.SILENT_ZONE_BACK_S);
-        // When a cut ends, some machines are heard before others; these are about to be, not dead.
-        silentUntilS.forEach((z, until) -> {
-            if (until > nowS) silentZones.add(z);
-        });
         // Of each type only the machine idle for the shortest time is kept for a boot time: one spare answers the next
         // job, and a second seldom earns its price.
         Map<String, Machine> spare = new HashMap<>();
