Every word that a job is cancelled passes one gate, at whichever node and by whatever path

Cause: only the abort whose own transaction was answered told the peers. With that answer lost, a second abort, a poll or a repeated submission said cancelled, and a leader refused by the state service went on renewing leases through the outage that followed. Users.withdrawn is now the only way for a live record; lists of cancellations fill their frame (some 400 instead of 120) before they overflow, and name each job once. Ruled out: final records, which are written once nothing is placed.

--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -84,10 +84,24 @@
         return true;
     }
 
-    private static Map<String, Object> live(String id, Map<String, Object> v) {
-        if (Fields.bool(v, "x")) return status(id, "withdrawn", 0, 0);
+    /** Answers from a live record. */
+    private void answerLive(Reply x, String id, Map<String, Object> v) {
+        if (Fields.bool(v, "x")) {
+            withdrawn(x, id);
+            return;
+        }
         int[] counts = RecordCodec.counts(v);
-        return status(id, counts[1] > 0 ? "running" : "pending", counts[0], counts[1]);
+        x.send(200, status(id, counts[1] > 0 ? "running" : "pending", counts[0], counts[1]));
+    }
+
+    /**
+     * The only way on which a user hears that a job is cancelled whose record is still live, be it from the abort itself,
+     * from a poll or from a repeated submission, at whichever node. The abort's own answer may have been lost, so any of
+     * them may be the first to tell, and from then on {@code cancel_s} counts: first the leader must be able to know.
+     */
+    private void withdrawn(Reply x, String id) {
+        node.abortAccepted(id);
+        x.send(200, status(id, "withdrawn", 0, 0));
     }
 
     public void poll(String id, Reply x) {
@@ -109,7 +123,7 @@
             if (status == 404) unknown.run();
             else if (status == 0) x.send(503, null);
             else if (record == null) answeredFinal(x, id);
-            else x.send(200, live(id, record));
+            else answerLive(x, id, record);
         });
     }
 
@@ -193,15 +207,13 @@
             if (status == 404) x.send(404, null);
             else if (status == 0) x.send(503, null);
             else if (record == null) answeredFinal(x, id);
-            else if (Fields.bool(record, "x")) x.send(200, status(id, "withdrawn", 0, 0));
+            else if (Fields.bool(record, "x")) withdrawn(x, id);
             else {
                 Map<String, Object> v = new LinkedHashMap<>(record);
                 v.put("x", true);
                 state.commit(new Change().guard(RecordCodec.LIVE + id, stamp).put(RecordCodec.LIVE + id, v), a -> {
-                    if (a.status() == 200) {
-                        node.abortAccepted(id);
-                        x.send(200, status(id, "withdrawn", 0, 0));
-                    } else if (a.status() == 409) abort(x, id, tries - 1);
+                    if (a.status() == 200) withdrawn(x, id);
+                    else if (a.status() == 409) abort(x, id, tries - 1);
                     // Too large to be written back since the limits were lowered: the leader rewrites such records first.
                     else x.send(a.status() == 429 ? 429 : 503, null);
                 });
--- a/src/main/java/org/mountlug/peer/PeerCodec.java
+++ b/src/main/java/org/mountlug/peer/PeerCodec.java
@@ -12,7 +12,8 @@
 public final class PeerCodec {
     /** Bytes; more ids than fit are told as an overflow. */
     public static final int FRAME_MAX = 4096;
-    private static final int IDS_MAX = 120;
+    /** Bytes of the longest id that fits; a longer one is told as an overflow. */
+    private static final int ID_MAX = 127;
 
     /**
      * What a node tells of itself. {@code boot} names the process, {@code served} whether the state service serves it,
@@ -34,12 +35,16 @@
         ByteBuffer b = ByteBuffer.allocate(FRAME_MAX);
         b.putInt(0).putLong(a.serial()).putLong(a.boot()).put((byte) (a.served() ? 1 : 0)).putLong(a.token())
                 .putInt(a.reports());
-        int n = Math.min(IDS_MAX, a.aborts().size());
-        b.put((byte) (a.overflow() || n < a.aborts().size() ? 1 : 0)).putShort((short) n);
-        for (int i = 0; i < n; i++) {
-            byte[] id = a.aborts().get(i).getBytes(StandardCharsets.US_ASCII);
+        int counted = b.position();
+        b.put((byte) 0).putShort((short) 0);
+        int n = 0;
+        for (String s : a.aborts()) {
+            byte[] id = s.getBytes(StandardCharsets.US_ASCII);
+            if (id.length > ID_MAX || b.remaining() < id.length + 1) continue;
             b.put((byte) id.length).put(id);
+            n++;
         }
+        b.put(counted, (byte) (a.overflow() || n < a.aborts().size() ? 1 : 0)).putShort(counted + 1, (short) n);
         b.putInt(0, b.position() - 4);
         return b.flip();
     }
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -35,8 +35,10 @@
 
     /** This node is about to tell a user that the job is cancelled. */
     public synchronized void aborted(String id, double nowS) {
-        aborts.addLast(new Abort(id, nowS));
         while (!aborts.isEmpty() && nowS - aborts.peekFirst().atS() > keepS) aborts.pollFirst();
+        // Told again and again it needs no second place: whoever hears all of this list's span has heard the first.
+        for (Abort a : aborts) if (a.id().equals(id)) return;
+        aborts.addLast(new Abort(id, nowS));
     }
 
     public synchronized List<String> aborts(double nowS) {
