A report overtaken by direct orders' answer renews the lease; cancelled tasks stop at the first answer

Cause: a report in flight while its worker answered orders sent straight to it has a lower sequence than that answer, was taken for a late copy and answered without being counted. Also: a new leader's first answer renews a lease; stops of cancelled tasks now go with it.

--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -350,7 +350,16 @@
             added(m);
             note("found " + m.name + " " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""));
         }
-        if (!r.newerThan(m.session, m.sequence)) return List.of(); // held back on its way: as old as its sequence
+        if (!r.newerThan(m.session, m.sequence)) {
+            // Overtaken by the answer to orders sent straight to the worker, it may still be the one report that it waits
+            // for, and then what we answer renews its lease. A copy of a report that we had is no such thing, nor is one
+            // that a later report has followed.
+            if (r.session() == m.session && r.sequence() > m.reportSequence) {
+                m.reportSequence = r.sequence();
+                m.answeredS = nowS;
+            }
+            return List.of(); // held back on its way: as old as its sequence
+        }
         if (!m.up) {
             m.up = true;
             m.idleSinceS = nowS;
@@ -370,6 +379,7 @@
         }
         m.session = r.session();
         m.sequence = r.sequence();
+        m.reportSequence = r.sequence();
         if (!Double.isNaN(r.recallS())) {
             if (Double.isNaN(m.takenS)) note("notice for " + m.name + ": taken in " + r.recallS() + " s");
             m.takenS = nowS + r.recallS();
@@ -381,10 +391,24 @@
         if (m.synced && !m.deaf) m.unheardSinceS = Double.NaN;
         else if (Double.isNaN(m.unheardSinceS)) m.unheardSinceS = nowS;
         m.answeredS = nowS;
-        if (!m.synced) return List.of();
+        if (!m.synced) return stops(m, r);
         return settle(m, r, mayStart, nowS);
     }
 
+    /**
+     * What can be said to a worker that has not seen our token: cancelled tasks stop with the first answer, as the same
+     * answer renews their lease and leaders may change again before the next. A stop names an attempt and proves nothing.
+     */
+    private List<Order> stops(Machine m, Report r) {
+        List<Order> orders = new ArrayList<>();
+        for (Report.Item i : r.tasks()) {
+            Placement p = m.placed.get(i.job() + "/" + i.task());
+            if (p == null || p.attempt != i.attempt() || !p.job.cancelled || i.state() == TaskState.EXITED) continue;
+            orders.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
+        }
+        return orders;
+    }
+
     // ---- straight to workers ----------------------------------------------------------------------------------
 
     /**
@@ -397,7 +421,7 @@
         List<Order> l = new ArrayList<>();
         for (Placement p : m.placed.values()) {
             if (p.session != m.session || jobs.get(p.job.spec.id()) != p.job) continue;
-            if (p.stopping && p.seen && !p.stopSent && p.state != TaskState.EXITED) {
+            if (p.stopping && p.seen && !p.stopSent && p.state != TaskState.EXITED && (mayStart || p.job.cancelled)) {
                 p.stopSent = true;
                 l.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
             } else if (mayStart && startable(m, p)
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -31,6 +31,8 @@
     /** Session and sequence of the newest report. */
     public long session;
     public long sequence = -1;
+    /** Sequence of the newest message that was a report, not the answer to orders sent straight here. */
+    long reportSequence = -1;
     /** Whether a report carried our own token: from then on no older leader's word can take effect. */
     public boolean synced;
     /** Steady seconds of our last answer that may have renewed the worker's lease, NaN if none. */
