A term knows of cancellations only once all is read; outcomes are read; late reservations fail

What a leader owns of loading and watching is LiveRecords now, with the invariant of what it knows beside the field. Causes, all found by reading: - a notice that came while a leader loaded was dropped, and its view moved on meanwhile: notices are kept, and before everything is read nothing is known and no lease renewed (cost: a worker that reports in these 20 to 100 ms tries the next node a second later); - stops of cancelled jobs sent straight to workers waited for a proof of leading, which an outage takes away; - a record that was gone was taken for our own last write, though another leader may have finished the job with an abort (done told of a cancelled job): the finished record is read; - reservations were guarded by the leader key alone, so that a late copy replaced newer ones of the same term: guarded by their own revisions and by their job's record. Ruled out by the same reading: leader keys won by lost or late answers (a failed campaign forgets its hold and drops a key on it), staged parts and records (guarded by the job's record), live before final in find (records move only that way).

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -54,6 +54,8 @@
     public static final int ANNOUNCE_MS = 1000;
     /** Keys that nothing needs any more that are deleted with one change. */
     public static final int ORPHANS_MOST = 4;
+    /** Seconds without a change after one with reservations failed: longer than a watch takes to show a user's abort. */
+    public static final double STALE_RESERVATION_S = 0.4;
     /** Seconds without a change after one was refused for good. */
     public static final double REFUSED_CHANGE_PAUSE_S = 0.5;
     /** Seconds for which a job whose change was refused for good is not written, so that the others are. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -337,8 +337,9 @@
             election.depose();
             return;
         }
-        for (String id : h.answer().aborts()) leader.abortTold(id);
-        leader.viewHolds(peerView.knownUntilS(leader.viewS(), now));
+        LiveRecords records = leader.records();
+        for (String id : h.answer().aborts()) records.abortTold(id);
+        records.knownByPeers(peerView.knownUntilS(records.knownUntilS(), now));
     }
 
     /** A peer's address refused a connection. */
@@ -346,10 +347,13 @@
         peerView.refused(label, clockS.getAsDouble());
     }
 
-    /** This node is about to tell a user that the job is cancelled; said before the user hears it. */
+    /**
+     * This node is about to tell a user that the job is cancelled, while its tasks may still run; to be called before each
+     * such answer, as a leader that is not served hears of cancellations in no other way.
+     */
     public void abortAccepted(String id) {
         peerView.aborted(id, clockS.getAsDouble());
-        if (leader != null) leader.abortTold(id);
+        if (leader != null) leader.records().abortTold(id);
     }
 
     // ---- catalogue --------------------------------------------------------------------------------------------
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -38,7 +38,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -74,8 +73,7 @@
     private final FinalStates finals;
     private final Budget writes;
     private final Metrics metrics;
-    /** Jobs as read at the start of the term, until their parts are read too. */
-    private Map<String, Job> loading = new LinkedHashMap<>();
+    private final LiveRecords records;
     /** Keys that nothing needs any more, deleted when there is room for it. */
     private final ArrayDeque<String> orphans = new ArrayDeque<>();
     /** Keys of {@link #orphans} in the transaction on its way. */
@@ -90,9 +88,6 @@
     private double reservationsAgainS;
     private boolean loaded;
     private boolean ended;
-    private long watchFrom;
-    /** Steady seconds up to which every abort of any node is known to us. */
-    private double viewS;
     private final double beganS;
 
     private List<Item> inFlight;
@@ -103,6 +98,8 @@
     private long writeCounter;
     private Map<String, List<Reservation>> reservationsWritten = new HashMap<>();
     private Map<String, List<Reservation>> reservationsInFlight;
+    /** Revisions of the stored reservations. */
+    private final Map<String, Long> reservationStamps = new HashMap<>();
 
     private final ArrayDeque<Rental> rentals = new ArrayDeque<>();
     private int renting;
@@ -145,10 +142,10 @@
         writes = new Budget(w, w);
         cloudCalls = new Budget(settings.cloudRps() * Constants.RENT_CALL_SHARE,
                 settings.cloudRps() * Constants.RENT_CALL_SHARE * Constants.CLOUD_BURST_S);
-        viewS = clockS.getAsDouble();
-        beganS = viewS;
+        beganS = clockS.getAsDouble();
         cluster.woke(beganS); // who was silent before was not silent to us
-        load(null, true);
+        records = new LiveRecords(state, clockS, timer, new Term());
+        records.start();
     }
 
     /** Seconds since this term began. */
@@ -175,128 +172,84 @@
         ended = true;
     }
 
-    // ---- loading ----------------------------------------------------------------------------------------------
+    // ---- records ----------------------------------------------------------------------------------------------
 
-    private void load(String after, boolean first) {
-        state.list(RecordCodec.LIVE, after, a -> {
-            if (ended) return;
-            if (a.status() != 200) {
-                LOG.debug("loading: state service answered {}", a.status());
-                later(() -> load(after, first), 300);
-                return;
-            }
-            double now = clockS.getAsDouble();
-            if (first) watchFrom = Fields.num(a.body(), "epoch", 0);
-            String last = null;
-            for (Object o : Fields.list(a.body(), "rows")) {
-                Map<String, Object> r = Fields.map(o);
-                last = Fields.str(r, "k");
-                record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0), now);
-            }
-            if (Fields.bool(a.body(), "hasNext") && last != null) load(last, false);
-            else loadParts(null);
-        });
-    }
+    private final class Term implements LiveRecords.Term {
+        @Override
+        public boolean knows(String id) {
+            return cluster.jobs.containsKey(id);
+        }
 
-    /** The parts of the jobs just read. Only a leader writes them, and since we lead no older one's write succeeds. */
-    private void loadParts(String after) {
-        state.list(RecordCodec.PARTS, after, a -> {
-            if (ended) return;
-            if (a.status() != 200) {
-                later(() -> loadParts(after), 300);
-                return;
-            }
-            double now = clockS.getAsDouble();
-            String last = null;
-            for (Object o : Fields.list(a.body(), "rows")) {
-                Map<String, Object> r = Fields.map(o);
-                last = Fields.str(r, "k");
-                part(last, Fields.map(r.get("v")), now);
+        @Override
+        public void adopt(Job j, double now) {
+            // Counted from its submission, or every change of leader would start its wait anew.
+            j.seenS = now - Math.max(0, (epochMs.getAsLong() - j.spec.submittedMs()) / 1000.0);
+            cluster.load(j, now);
+            hurry |= j.spec.gang() || j.spec.service() || j.spec.need().gpus() > 0;
+            if (j.cancelled && cluster.jobs.get(j.spec.id()) == j) {
+                j.cancelled = false;
+                cluster.cancelled(j, now);
             }
-            if (Fields.bool(a.body(), "hasNext") && last != null) {
-                loadParts(last);
+        }
+
+        @Override
+        public void changed(String id, Map<String, Object> v, long stamp, double now) {
+            Job j = cluster.jobs.get(id);
+            if (stamp <= j.stamp) return;
+            String w = Fields.str(v, "w", "");
+            if (inFlight != null) for (Item i : inFlight) if (i.job == j && i.own && i.writeId.equals(w)) persisted(i, stamp);
+            if (!w.equals(j.writeId)) {
+                // Only a newer leader writes records, so this term is over; it went on watching while it was not served.
+                LOG.info("deposed: record of {} was written by another leader", id);
+                election.depose();
+                ended = true;
                 return;
             }
-            for (Job j : loading.values()) adopt(j, now);
-            loading = null;
-            loadReservations();
-        });
-    }
-
-    private void part(String key, Map<String, Object> v, double now) {
-        int slash = key.lastIndexOf('/');
-        String id = key.substring(RecordCodec.PARTS.length(), slash);
-        Job j = loading.get(id);
-        if (j == null) {
-            if (!unreadable.contains(id)) orphans.add(key); // its job is over, and ids never come back
-            return;
-        }
-        try {
-            int n = Integer.parseInt(key.substring(slash + 1));
-            if (!j.split()) j.leftover.set(n); // written ahead by a leader that ended before it mattered
-            else if (n < j.parts()) RecordCodec.part(j, n, v, now);
-        } catch (RuntimeException e) {
-            LOG.error("part {} cannot be read: {}", key, e.toString());
-            // Where its tasks are is not known, so none of the job may be started.
-            loading.remove(id);
-            unreadable.add(id);
+            j.stamp = stamp;
+            if (Fields.bool(v, "x")) cancelled(id);
         }
-    }
-
-    private final Set<String> unreadable = new HashSet<>();
 
-    private void adopt(Job j, double now) {
-        // Counted from its submission, or every change of leader would start its wait anew.
-        j.seenS = now - Math.max(0, (epochMs.getAsLong() - j.spec.submittedMs()) / 1000.0);
-        cluster.load(j, now);
-        hurry |= j.spec.gang() || j.spec.service() || j.spec.need().gpus() > 0;
-        if (j.cancelled && cluster.jobs.get(j.spec.id()) == j) {
-            j.cancelled = false;
-            cluster.cancelled(j, now);
+        @Override
+        public void orphan(String key) {
+            orphans.add(key);
         }
-    }
 
-    private void loadReservations() {
-        state.list(RecordCodec.RESERVED, null, a -> {
-            if (ended) return;
-            if (a.status() != 200) {
-                later(this::loadReservations, 300);
-                return;
-            }
-            for (Object o : Fields.list(a.body(), "rows")) {
-                Map<String, Object> r = Fields.map(o);
-                String id = Fields.str(r, "k").substring(RecordCodec.RESERVED.length());
-                List<Reservation> l;
-                try {
-                    l = RecordCodec.reservations(Fields.map(r.get("v")));
-                } catch (RuntimeException e) {
-                    LOG.error("reservation of {} cannot be read: {}", id, e.toString());
-                    l = List.of(); // forgotten with the next change of reservations
-                }
+        @Override
+        public void reservations(Map<String, List<Reservation>> byJob, Map<String, Long> stamps) {
+            byJob.forEach((id, l) -> {
                 reservationsWritten.put(id, l);
                 if (cluster.jobs.containsKey(id)) cluster.reservations.put(id, l);
-            }
-            loadImages();
-        });
-    }
+            });
+            reservationStamps.putAll(stamps);
+        }
 
-    /** What the last leader knew of machines' images; without it every change of leader costs fetches. */
-    private void loadImages() {
-        state.get(RecordCodec.IMAGES, Constants.STATE_TIMEOUT_MS, a -> {
-            if (ended) return;
-            if (a.status() == 200) {
-                imagesWritten = Fields.map(a.body().get("v"));
-                for (Map.Entry<String, Object> e : imagesWritten.entrySet()) {
-                    if (e.getValue() instanceof List<?> l) {
-                        cluster.expectImages(e.getKey(), l.stream().map(String::valueOf).toList());
-                    }
+        @Override
+        public void images(Map<String, Object> v) {
+            imagesWritten = v;
+            for (Map.Entry<String, Object> e : v.entrySet()) {
+                if (e.getValue() instanceof List<?> l) {
+                    cluster.expectImages(e.getKey(), l.stream().map(String::valueOf).toList());
                 }
             }
+        }
+
+        @Override
+        public void loaded() {
             loaded = true;
             LOG.info("leading with token {}: {} live jobs, {} machines with tasks", cluster.token(),
                     cluster.jobs.size(), cluster.machines.size());
-            watch();
-        });
+        }
+
+        @Override
+        public void cancelled(String id) {
+            Job j = cluster.jobs.get(id);
+            if (!j.cancelled) cluster.cancelled(j, clockS.getAsDouble());
+        }
+
+        @Override
+        public boolean ended() {
+            return ended;
+        }
     }
 
     private void later(Runnable r, int ms) {
@@ -305,90 +258,10 @@
         }, ms);
     }
 
-    private void watch() {
-        double asked = clockS.getAsDouble();
-        state.watch(RecordCodec.LIVE, watchFrom, 2000, a -> {
-            if (ended) return;
-            double now = clockS.getAsDouble();
-            if (a.status() == 200) {
-                viewS = Math.max(viewS, asked);
-                watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
-                for (Object o : Fields.list(a.body(), "news")) {
-                    if (ended) return;
-                    Map<String, Object> e = Fields.map(o);
-                    String put = Fields.str(e, "put");
-                    if (put != null) {
-                        record(put.substring(RecordCodec.LIVE.length()), Fields.map(e.get("v")),
-                                Fields.num(e, "stamp", 0), now);
-                    }
-                }
-                later(this::watch, Constants.WATCH_PAUSE_MS);
-            } else if (a.status() == 410) {
-                reload(null, true);
-            } else later(this::watch, 500);
-        });
-    }
-
-    private void reload(String after, boolean first) {
-        state.list(RecordCodec.LIVE, after, a -> {
-            if (ended) return;
-            if (a.status() != 200) {
-                later(() -> reload(after, first), 500);
-                return;
-            }
-            if (first) watchFrom = Fields.num(a.body(), "epoch", 0);
-            String last = null;
-            for (Object o : Fields.list(a.body(), "rows")) {
-                Map<String, Object> r = Fields.map(o);
-                last = Fields.str(r, "k");
-                record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0),
-                        clockS.getAsDouble());
-            }
-            if (Fields.bool(a.body(), "hasNext") && last != null) reload(last, false);
-            else watch();
-        });
-    }
-
-    /** A record as the state service shows it: new, our own write, or one that a user's abort has changed. */
-    private void record(String id, Map<String, Object> v, long stamp, double now) {
-        Job j = cluster.jobs.get(id);
-        if (j == null) {
-            Job n;
-            try {
-                n = RecordCodec.job(id, v, stamp, now);
-            } catch (RuntimeException e) {
-                // One record that nobody can read must not keep the others from being served.
-                LOG.error("record of {} cannot be read: {}", id, e.toString());
-                unreadable.add(id);
-                return;
-            }
-            if (loading != null) loading.put(id, n);
-            // Later, a job with parts that we do not know is one that is over for us: a late word of our own writes.
-            else if (!n.split() && !unreadable.contains(id)) adopt(n, now);
-            return;
-        }
-        if (stamp <= j.stamp) return;
-        String w = Fields.str(v, "w", "");
-        if (inFlight != null) for (Item i : inFlight) if (i.job == j && i.own && i.writeId.equals(w)) persisted(i, stamp);
-        if (!w.equals(j.writeId)) {
-            // Only a newer leader writes records, so this term is over; it went on watching while it was not served.
-            LOG.info("deposed: record of {} was written by another leader", id);
-            election.depose();
-            ended = true;
-            return;
-        }
-        j.stamp = stamp;
-        if (Fields.bool(v, "x") && !j.cancelled) cluster.cancelled(j, now);
-    }
-
     private void persisted(Item i, long stamp) {
         Job j = i.job;
         if (i.over) {
-            for (int p = 1; p < j.parts(); p++) orphans.add(RecordCodec.partKey(j.spec.id(), p));
-            j.leftover.stream().forEach(p -> orphans.add(RecordCodec.partKey(j.spec.id(), p)));
-            cluster.finished(j, stamp);
-            finals.put(j.spec.id(), i.done, j.spec.tasks());
-            metrics.finished(i.done);
+            over(j, true, i.done, stamp);
             return;
         }
         if (!i.own) {
@@ -404,26 +277,29 @@
         } else j.dirtySinceS = clockS.getAsDouble();
     }
 
-    // ---- workers ----------------------------------------------------------------------------------------------
-
-    /** Whether workers' leases may be renewed: not after a cancelled task might be kept alive by that. */
-    boolean mayRenew(double nowS) {
-        return nowS < viewS + settings.cancelS() - settings.leaseS() * (1 + Constants.DRIFT) - Constants.CANCEL_MARGIN_S;
+    /** The job has moved to the finished ones; {@code told} whether its outcome is known. */
+    private void over(Job j, boolean told, boolean done, long stamp) {
+        for (int p = 1; p < j.parts(); p++) orphans.add(RecordCodec.partKey(j.spec.id(), p));
+        j.leftover.stream().forEach(p -> orphans.add(RecordCodec.partKey(j.spec.id(), p)));
+        cluster.finished(j, stamp);
+        if (!told) return;
+        finals.put(j.spec.id(), done, j.spec.tasks());
+        metrics.finished(done);
     }
 
-    /** A user was told that this job is cancelled; the record says so too, but may not be readable now. */
-    void abortTold(String id) {
-        Job j = cluster.jobs.get(id);
-        if (loaded && j != null && !j.cancelled) cluster.cancelled(j, clockS.getAsDouble());
-    }
+    // ---- workers ----------------------------------------------------------------------------------------------
 
-    /** The peers have shown that nobody was served after our last view, up to this time. */
-    void viewHolds(double untilS) {
-        viewS = Math.max(viewS, untilS);
+    /**
+     * Whether workers' leases may be renewed: not after a cancelled task might be kept alive by that. A term that has not
+     * read the records knows of no cancellation, however old, and so may renew nothing.
+     */
+    boolean mayRenew(double nowS) {
+        return nowS < records.knownUntilS() + settings.cancelS() - settings.leaseS() * (1 + Constants.DRIFT)
+                - Constants.CANCEL_MARGIN_S;
     }
 
-    double viewS() {
-        return viewS;
+    LiveRecords records() {
+        return records;
     }
 
     /** Whether this worker must go without an answer, so that its lease runs out. */
@@ -434,8 +310,6 @@
     /** Orders for a worker, or null if we are deposed. */
     List<Order> report(Report r) {
         double now = clockS.getAsDouble();
-        if (r.token() > cluster.token()) return null;
-        if (!loaded) return List.of();
         return cluster.report(r, election.proven(now), now);
     }
 
@@ -470,11 +344,13 @@
 
     /** Sends what must not wait for a machine's next report straight to its worker. */
     private void straight(double now) {
-        if (!election.proven(now)) return;
+        // Stops of cancelled jobs leave without a proof of leading, too: no write to a state service that does not serve
+        // us may be waited for, and a later leader's worker refuses them by their token.
+        boolean proven = election.proven(now);
         for (Machine m : cluster.machines.values()) {
             if (m.placed.isEmpty() || commanded.contains(m.name)) continue;
             if (commanded.size() >= Constants.COMMANDS_MOST) return;
-            List<Order> orders = cluster.urgent(m, true,
+            List<Order> orders = cluster.urgent(m, proven,
                     commanded.size() < Constants.COMMANDS_ORDINARY, now);
             if (orders.isEmpty()) continue;
             commanded.add(m.name);
@@ -675,12 +551,17 @@
         Map<String, List<Reservation>> next = new HashMap<>(reservationsWritten);
         for (Map.Entry<String, List<Reservation>> e : cluster.reservations.entrySet()) {
             if (used >= room || e.getValue().equals(next.get(e.getKey()))) continue;
+            Job j = cluster.jobs.get(e.getKey());
+            if (j == null) continue;
+            guardReservation(c, e.getKey());
+            c.guard(RecordCodec.LIVE + e.getKey(), j.stamp);
             c.put(RecordCodec.RESERVED + e.getKey(), RecordCodec.reservations(e.getValue(), valueChars()));
             next.put(e.getKey(), e.getValue());
             used++;
         }
         for (String id : new ArrayList<>(next.keySet())) {
             if (used >= room || cluster.reservations.containsKey(id)) continue;
+            guardReservation(c, id);
             c.delete(RecordCodec.RESERVED + id);
             next.remove(id);
             used++;
@@ -689,6 +570,41 @@
         return used;
     }
 
+    /**
+     * The leader key alone would let a change that is carried out late replace a newer one of the same term. As the key
+     * comes and goes, a put is guarded by the job's record too, which moves on when the job is placed.
+     */
+    private void guardReservation(Change c, String id) {
+        c.guard(RecordCodec.RESERVED + id, reservationStamps.getOrDefault(id, 0L));
+    }
+
+    /** After a failed condition: what is stored is read anew, as the failed change may have been carried out before. */
+    private void rereadReservations(Runnable then) {
+        state.list(RecordCodec.RESERVED, null, a -> {
+            if (ended) return;
+            if (a.status() != 200) {
+                later(() -> rereadReservations(then), 300);
+                return;
+            }
+            reservationsWritten = new HashMap<>();
+            reservationStamps.clear();
+            LiveRecords.reservations(a.body(), (byJob, stamps) -> {
+                reservationsWritten.putAll(byJob);
+                reservationStamps.putAll(stamps);
+            });
+            then.run();
+        });
+    }
+
+    /** The reservations on their way are stored, each that changed as of this revision. */
+    private void reserved(long epoch) {
+        for (Map.Entry<String, List<Reservation>> e : reservationsInFlight.entrySet()) {
+            if (!e.getValue().equals(reservationsWritten.get(e.getKey()))) reservationStamps.put(e.getKey(), epoch);
+        }
+        reservationStamps.keySet().retainAll(reservationsInFlight.keySet());
+        reservationsWritten = reservationsInFlight;
+    }
+
     private void send() {
         waiting = true;
         state.commit(change, a -> {
@@ -702,7 +618,7 @@
                         // The watch may have shown this write already.
                         if (cluster.jobs.get(i.job.spec.id()) == i.job) persisted(i, epoch);
                     }
-                    if (reservationsInFlight != null) reservationsWritten = reservationsInFlight;
+                    if (reservationsInFlight != null) reserved(epoch);
                     for (int k = 0; k < orphansInFlight; k++) orphans.poll();
                     settled();
                     nextFlushS = 0;
@@ -715,7 +631,12 @@
                         return;
                     }
                     waiting = true;
-                    readBack(new ArrayDeque<>(inFlight));
+                    ArrayDeque<Item> read = new ArrayDeque<>(inFlight);
+                    if (reservationsInFlight == null) readBack(read);
+                    else {
+                        retryAtS = now + Constants.STALE_RESERVATION_S; // the watch shows the jobs' records meanwhile
+                        rereadReservations(() -> readBack(read));
+                    }
                 }
                 case 400 -> {
                     LOG.error("state service refused a change of {} jobs: {}", inFlight.size(), a.body());
@@ -778,21 +699,38 @@
         state.get(RecordCodec.LIVE + id, Constants.STATE_TIMEOUT_MS, a -> {
             if (ended) return;
             if (a.status() == 200) {
-                record(id, Fields.map(a.body().get("v")), Fields.num(a.body(), "stamp", 0), clockS.getAsDouble());
+                records.record(id, Fields.map(a.body().get("v")), Fields.num(a.body(), "stamp", 0), clockS.getAsDouble());
                 left.poll();
                 readBack(left);
             } else if (a.status() == 404) {
-                if (!i.over) LOG.error("record of {} is gone", id);
-                if (cluster.jobs.get(id) == i.job) {
-                    if (i.over) persisted(i, Fields.num(a.body(), "epoch", i.job.stamp));
-                    else cluster.finished(i.job, Fields.num(a.body(), "epoch", i.job.stamp));
-                }
-                left.poll();
-                readBack(left);
+                readFinal(left);
             } else later(() -> readBack(left), 300);
         });
     }
 
+    /**
+     * The record is gone, so the job is over; how, only its finished record tells. It need not be our own write: if we
+     * were not served for a while, another leader may have finished the job with an abort that we have not heard of.
+     */
+    private void readFinal(ArrayDeque<Item> left) {
+        Item i = left.peek();
+        String id = i.job.spec.id();
+        state.get(RecordCodec.FINAL + id, Constants.STATE_TIMEOUT_MS, a -> {
+            if (ended) return;
+            if (a.status() != 200 && a.status() != 404) {
+                later(() -> readBack(left), 300);
+                return;
+            }
+            if (a.status() == 404) LOG.error("record of {} is gone", id);
+            if (cluster.jobs.get(id) == i.job) {
+                boolean done = a.status() == 200 && Fields.bool(Fields.map(a.body().get("v")), "done");
+                over(i.job, a.status() == 200, done, Fields.num(a.body(), a.status() == 200 ? "stamp" : "epoch", i.job.stamp));
+            }
+            left.poll();
+            readBack(left);
+        });
+    }
+
     // ---- cloud ------------------------------------------------------------------------------------------------
 
     private void catalogue(double now) {
--- /dev/null
+++ b/src/main/java/org/mountlug/node/LiveRecords.java
@@ -0,0 +1,312 @@
+package org.mountlug.node;
+
+import org.mountlug.Constants;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateClient;
+import org.mountlug.wire.Fields;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
+
+/**
+ * How a leader comes to know the live work: all records are read once at the start of its term and watched from then on,
+ * and cancellations are also heard of from the nodes that tell users of them. It answers the one question on which the
+ * renewal of workers' leases rests: up to when is every cancellation that a user was told of known to this term?
+ */
+final class LiveRecords {
+    private static final Logger LOG = LoggerFactory.getLogger(LiveRecords.class);
+
+    /** What the term does with what is read. */
+    interface Term {
+        /** Whether the job is known, so that its record goes to {@link #changed}. */
+        boolean knows(String id);
+
+        /** A job with all its parts, as read at the start or submitted since. */
+        void adopt(Job j, double nowS);
+
+        /** A newer look at the record of a known job. */
+        void changed(String id, Map<String, Object> v, long stamp, double nowS);
+
+        /** A key that nothing needs any more. */
+        void orphan(String key);
+
+        /** Reservations as an earlier leader left them, by key, and the revisions of their keys. */
+        void reservations(Map<String, List<Reservation>> byJob, Map<String, Long> stamps);
+
+        void images(Map<String, Object> v);
+
+        /** Everything has been read. */
+        void loaded();
+
+        /** A user was told that this job, known to the term, is cancelled. */
+        void cancelled(String id);
+
+        boolean ended();
+    }
+
+    private final StateClient state;
+    private final DoubleSupplier clockS;
+    private final BiConsumer<Runnable, Integer> timer;
+    private final Term term;
+    /** Jobs as read at the start of the term, until their parts are read too; null from then on. */
+    private Map<String, Job> loading = new LinkedHashMap<>();
+    private final Set<String> unreadable = new HashSet<>();
+    /**
+     * Jobs of which a user was told that they are cancelled and which this term did not know yet. A notice may come
+     * while records read before it are still being loaded, so it is kept until there is something to apply it to.
+     */
+    private final Set<String> told = new HashSet<>();
+    private boolean loaded;
+    private long watchFrom;
+    /**
+     * Steady seconds. The invariant: once loaded, every cancellation that any node told a user of before this time has
+     * been applied to the jobs of this term, or is kept in {@link #told}. It is moved on by two things only.
+     * <ul>
+     * <li>An answer of the state service, to the time at which it was asked for and no later, however long it was on its
+     * way: a watch that stayed open through a refusal says nothing of that time. It counts after what it brings has
+     * been applied. 410 and reloading move it by nothing.</li>
+     * <li>The word of all peers without a gap ({@link org.mountlug.peer.PeerView#knownUntilS}), each of whose lists went
+     * through {@link #abortTold} first.</li>
+     * </ul>
+     * Before everything is loaded nothing is known at all, see {@link #knownUntilS}.
+     */
+    private double viewS = Double.NEGATIVE_INFINITY;
+
+    LiveRecords(StateClient state, DoubleSupplier clockS, BiConsumer<Runnable, Integer> timer, Term term) {
+        this.state = state;
+        this.clockS = clockS;
+        this.timer = timer;
+        this.term = term;
+    }
+
+    void start() {
+        load(null, true);
+    }
+
+    /** Up to when every cancellation that a user was told of is known and applied; never, while records are read. */
+    double knownUntilS() {
+        return loaded ? viewS : Double.NEGATIVE_INFINITY;
+    }
+
+    /** The peers' lists, all of which have come through {@link #abortTold}, reach up to this time without a gap. */
+    void knownByPeers(double untilS) {
+        viewS = Math.max(viewS, untilS);
+    }
+
+    /** A user was told that this job is cancelled; the record says so too, but may not be readable now. */
+    void abortTold(String id) {
+        if (loaded && term.knows(id)) term.cancelled(id);
+        else told.add(id);
+    }
+
+    private void later(Runnable r, int ms) {
+        timer.accept(() -> {
+            if (!term.ended()) r.run();
+        }, ms);
+    }
+
+    // ---- loading ----------------------------------------------------------------------------------------------
+
+    private void load(String after, boolean first) {
+        double asked = clockS.getAsDouble();
+        state.list(RecordCodec.LIVE, after, a -> {
+            if (term.ended()) return;
+            if (a.status() != 200) {
+                LOG.debug("loading: state service answered {}", a.status());
+                later(() -> load(after, first), 300);
+                return;
+            }
+            if (first) {
+                watchFrom = Fields.num(a.body(), "epoch", 0);
+                viewS = asked; // what is read of the other pages is no older
+            }
+            String last = rows(a.body());
+            if (Fields.bool(a.body(), "hasNext") && last != null) load(last, false);
+            else loadParts(null);
+        });
+    }
+
+    /** Takes in a page of records; the last key, or null if there is none. */
+    private String rows(Map<String, Object> body) {
+        double now = clockS.getAsDouble();
+        String last = null;
+        for (Object o : Fields.list(body, "rows")) {
+            if (term.ended()) return null;
+            Map<String, Object> r = Fields.map(o);
+            last = Fields.str(r, "k");
+            record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0), now);
+        }
+        return last;
+    }
+
+    /** The parts of the jobs just read. Only a leader writes them, and since we lead no older one's write succeeds. */
+    private void loadParts(String after) {
+        state.list(RecordCodec.PARTS, after, a -> {
+            if (term.ended()) return;
+            if (a.status() != 200) {
+                later(() -> loadParts(after), 300);
+                return;
+            }
+            double now = clockS.getAsDouble();
+            String last = null;
+            for (Object o : Fields.list(a.body(), "rows")) {
+                Map<String, Object> r = Fields.map(o);
+                last = Fields.str(r, "k");
+                part(last, Fields.map(r.get("v")), now);
+            }
+            if (Fields.bool(a.body(), "hasNext") && last != null) {
+                loadParts(last);
+                return;
+            }
+            List<Job> all = List.copyOf(loading.values());
+            loading = null;
+            for (Job j : all) adopt(j, now);
+            loadReservations();
+        });
+    }
+
+    private void part(String key, Map<String, Object> v, double now) {
+        int slash = key.lastIndexOf('/');
+        String id = key.substring(RecordCodec.PARTS.length(), slash);
+        Job j = loading.get(id);
+        if (j == null) {
+            if (!unreadable.contains(id)) term.orphan(key); // its job is over, and ids never come back
+            return;
+        }
+        try {
+            int n = Integer.parseInt(key.substring(slash + 1));
+            if (!j.split()) j.leftover.set(n); // written ahead by a leader that ended before it mattered
+            else if (n < j.parts()) RecordCodec.part(j, n, v, now);
+        } catch (RuntimeException e) {
+            LOG.error("part {} cannot be read: {}", key, e.toString());
+            // Where its tasks are is not known, so none of the job may be started.
+            loading.remove(id);
+            unreadable.add(id);
+        }
+    }
+
+    private void adopt(Job j, double now) {
+        String id = j.spec.id();
+        term.adopt(j, now);
+        if (told.remove(id) && term.knows(id)) term.cancelled(id);
+    }
+
+    private void loadReservations() {
+        state.list(RecordCodec.RESERVED, null, a -> {
+            if (term.ended()) return;
+            if (a.status() != 200) {
+                later(this::loadReservations, 300);
+                return;
+            }
+            reservations(a.body(), term::reservations);
+            loadImages();
+        });
+    }
+
+    /** Hands on the stored reservations of a listing, by job, and the revisions of their keys. */
+    static void reservations(Map<String, Object> body,
+                             BiConsumer<Map<String, List<Reservation>>, Map<String, Long>> to) {
+        Map<String, List<Reservation>> byJob = new HashMap<>();
+        Map<String, Long> stamps = new HashMap<>();
+        for (Object o : Fields.list(body, "rows")) {
+            Map<String, Object> r = Fields.map(o);
+            String id = Fields.str(r, "k").substring(RecordCodec.RESERVED.length());
+            List<Reservation> l;
+            try {
+                l = RecordCodec.reservations(Fields.map(r.get("v")));
+            } catch (RuntimeException e) {
+                LOG.error("reservation of {} cannot be read: {}", id, e.toString());
+                l = List.of(); // forgotten with the next change of reservations
+            }
+            byJob.put(id, l);
+            stamps.put(id, Fields.num(r, "stamp", 0));
+        }
+        to.accept(byJob, stamps);
+    }
+
+    /** What the last leader knew of machines' images; without it every change of leader costs fetches. */
+    private void loadImages() {
+        state.get(RecordCodec.IMAGES, Constants.STATE_TIMEOUT_MS, a -> {
+            if (term.ended()) return;
+            if (a.status() == 200) term.images(Fields.map(a.body().get("v")));
+            loaded = true;
+            for (String id : List.copyOf(told)) {
+                if (!term.knows(id)) continue;
+                told.remove(id);
+                term.cancelled(id);
+            }
+            term.loaded();
+            watch();
+        });
+    }
+
+    // ---- watching ---------------------------------------------------------------------------------------------
+
+    private void watch() {
+        double asked = clockS.getAsDouble();
+        state.watch(RecordCodec.LIVE, watchFrom, 2000, a -> {
+            if (term.ended()) return;
+            double now = clockS.getAsDouble();
+            if (a.status() == 200) {
+                for (Object o : Fields.list(a.body(), "news")) {
+                    if (term.ended()) return;
+                    Map<String, Object> e = Fields.map(o);
+                    String put = Fields.str(e, "put");
+                    if (put != null) {
+                        record(put.substring(RecordCodec.LIVE.length()), Fields.map(e.get("v")),
+                                Fields.num(e, "stamp", 0), now);
+                    }
+                }
+                watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
+                viewS = Math.max(viewS, asked);
+                later(this::watch, Constants.WATCH_PAUSE_MS);
+            } else if (a.status() == 410) {
+                reload(null, true);
+            } else later(this::watch, 500);
+        });
+    }
+
+    private void reload(String after, boolean first) {
+        state.list(RecordCodec.LIVE, after, a -> {
+            if (term.ended()) return;
+            if (a.status() != 200) {
+                later(() -> reload(after, first), 500);
+                return;
+            }
+            if (first) watchFrom = Fields.num(a.body(), "epoch", 0);
+            String last = rows(a.body());
+            if (Fields.bool(a.body(), "hasNext") && last != null) reload(last, false);
+            else watch();
+        });
+    }
+
+    /** A record as the state service shows it: new, the term's own write, or one that a user's abort has changed. */
+    void record(String id, Map<String, Object> v, long stamp, double now) {
+        if (term.knows(id)) {
+            term.changed(id, v, stamp, now);
+            return;
+        }
+        Job n;
+        try {
+            n = RecordCodec.job(id, v, stamp, now);
+        } catch (RuntimeException e) {
+            // One record that nobody can read must not keep the others from being served.
+            LOG.error("record of {} cannot be read: {}", id, e.toString());
+            unreadable.add(id);
+            return;
+        }
+        if (loading != null) loading.put(id, n);
+        // Later, a job with parts that we do not know is one that is over for us: a late word of our own writes.
+        else if (!n.split() && !unreadable.contains(id)) adopt(n, now);
+    }
+}
--- a/src/main/java/org/mountlug/store/Change.java
+++ b/src/main/java/org/mountlug/store/Change.java
@@ -1,16 +1,20 @@
 package org.mountlug.store;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A transaction for the state service under construction. */
 public final class Change {
     private final List<Object> guards = new ArrayList<>();
+    private final Set<String> guarded = new HashSet<>();
     private final List<Object> writes = new ArrayList<>();
 
     public Change guard(String key, long stamp) {
+        if (!guarded.add(key)) return this;
         Map<String, Object> g = new LinkedHashMap<>();
         g.put("k", key);
         g.put("stamp", stamp);
