--- a/src/test/java/org/mountlug/core/ProofTest.java
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -67,6 +67,34 @@
         assertEquals(1, j.placed.size());
     }
 
+    /** Whoever answers renews the lease, so what is cancelled stops with the first answer, whatever token came before. */
+    @ParameterizedTest(name = "token {0} below ours, attempt {1}, {2}, cancelled {3}")
+    @CsvSource({"1, 1, RUNNING, true, STOP", "1, 1, WAITING, true, STOP", "1, 1, EXITED, true, ''", "1, 2, RUNNING, true, ''",
+            "1, 1, RUNNING, false, ''", "0, 1, RUNNING, true, STOP"})
+    void aCancelledTaskStopsWithTheFirstAnswer(int below, long attempt, TaskState state, boolean cancelled, String order) {
+        place();
+        Samples.persist(j);
+        j.placed.get(0).seen = true;
+        if (cancelled) c.cancelled(j, 1);
+        List<Order> o = c.report(report("n-1", "small", "a", 1, 9, TOKEN - below,
+                item("wk-000001", 0, attempt, state, state == TaskState.EXITED ? Cause.ERROR : Cause.NONE)), true, 3);
+        assertEquals(order.isEmpty() ? List.of() : List.of("STOP wk-000001/0#1"), Samples.verbs(o));
+    }
+
+    /** A report that direct orders' answer has overtaken may be the one its worker waits for: its answer renews the lease. */
+    @ParameterizedTest(name = "sequence {0} of session {1}")
+    @CsvSource({"5, 1, true", "4, 1, false", "3, 1, false", "5, 0, false"})
+    void anOvertakenReportCountsAsAnswered(long sequence, long session, boolean counts) {
+        place();
+        Samples.persist(j);
+        beat(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
+        c.carriedOut(m, report("n-1", "small", "a", 1, 6, TOKEN, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)), List.of(), 4.5);
+        double before = m.answeredS;
+        c.report(report("n-1", "small", "a", session, sequence, TOKEN), true, 7);
+        assertEquals(counts ? 7 : before, m.answeredS);
+        assertEquals(1, j.placed.size());
+    }
+
     @Test
     void aReportUnderAnOlderTokenProvesNothing() {
         place();
--- a/src/test/java/org/mountlug/node/StateStandIn.java
+++ b/src/test/java/org/mountlug/node/StateStandIn.java
@@ -8,7 +8,6 @@
 import org.mountlug.wire.Http;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -17,7 +16,23 @@
 /** The state service in memory, by its protocol: versions, leases, watches, limits, outages. */
 final class StateStandIn {
     /** How one node reaches it. */
-    enum Link { GOOD, REFUSED, SILENT }
+    enum Link {
+        GOOD, REFUSED, SILENT,
+        /** Transactions are carried out at once, but their answers are lost. */
+        UNHEARD,
+        /** Transactions get no answer and are carried out {@link #lateS} later. */
+        LATE
+    }
+
+    /** Seconds by which transactions over a {@link Link#LATE} link are carried out late, and how many were and succeeded. */
+    double lateS = 3;
+    /** Seconds by which every answer takes longer. */
+    double slowS;
+    /** Sees each transaction just before it leaves its node. */
+    java.util.function.BiConsumer<World.Node, Map<String, Object>> onMulti;
+    int lateCarriedOut;
+    int lateSucceeded;
+    int unheard;
 
     private record Row(Object value, long stamp, long hold) {}
 
@@ -49,14 +64,26 @@
         this.valueNow = valueMost;
     }
 
-    Calls calls(java.util.function.Supplier<Link> link) {
+    Calls calls(World.Node from, java.util.function.Supplier<Link> link) {
         return (method, path, body, timeoutMs, then) -> {
             // Through bytes and back, so that a value cannot be shared by mistake.
             Map<String, Object> copy = body == null ? Map.of() : copy(body);
+            if (path.equals("/multi") && onMulti != null) onMulti.accept(from, copy);
             Link l = link.get();
             if (l == Link.SILENT) {
                 if (path.equals("/multi")) heldBack.add(() -> multi(copy));
                 world.in(timeoutMs / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
+            } else if (path.equals("/multi") && l == Link.LATE && !outage) {
+                world.in(lateS, () -> {
+                    lateCarriedOut++;
+                    if ((int) multi(copy)[0] == 200) lateSucceeded++;
+                });
+                world.in(timeoutMs / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
+            } else if (path.equals("/multi") && l == Link.UNHEARD && !outage) {
+                world.in(0.002, () -> {
+                    if ((int) multi(copy)[0] == 200) unheard++;
+                });
+                world.in(timeoutMs / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
             } else world.in(0.002, () -> {
                 if (path.startsWith("/watch")) watch(path, world.now + timeoutMs / 1000.0, link, then);
                 else if (l == Link.REFUSED || outage) answer(then, 503, Map.of());
@@ -75,7 +102,7 @@
     }
 
     private void answer(Consumer<Http.Answer> then, int status, Map<String, Object> body) {
-        world.in(0.002, () -> then.accept(new Http.Answer(status, copy(body), true)));
+        world.in(0.002 + slowS, () -> then.accept(new Http.Answer(status, copy(body), true)));
     }
 
     private void serve(HttpString method, String path, Map<String, Object> body, Consumer<Http.Answer> then) {
@@ -179,12 +206,11 @@
 
     private void expire() {
         if (outage) return;
-        for (Iterator<Map.Entry<Long, double[]>> i = holds.entrySet().iterator(); i.hasNext(); ) {
-            Map.Entry<Long, double[]> e = i.next();
-            if (e.getValue()[1] > world.now) continue;
-            i.remove();
+        for (long id : List.copyOf(holds.keySet())) {
+            if (holds.get(id)[1] > world.now) continue;
+            holds.remove(id);
             for (Map.Entry<String, Row> r : new ArrayList<>(rows.entrySet())) {
-                if (r.getValue().hold() == e.getKey()) {
+                if (r.getValue().hold() == id) {
                     epoch++;
                     delete(r.getKey());
                 }
@@ -202,7 +228,7 @@
                 then.accept(new Http.Answer(0, Map.of(), true));
                 return;
             }
-            if (link.get() == Link.GOOD && !outage) {
+            if (link.get() != Link.REFUSED && link.get() != Link.SILENT && !outage) {
                 expire();
                 List<Object> news = new ArrayList<>();
                 for (int i = log.size() - 1; i >= 0 && log.get(i).stamp() > after; i--) {
@@ -219,6 +245,11 @@
         look[0].run();
     }
 
+    /** A transaction is carried out once more. */
+    int again(Map<String, Object> body) {
+        return (int) multi(copy(body))[0];
+    }
+
     void lower(double valueKb, int ops) {
         valueNow = (int) (valueKb * 1024);
         opsNow = ops;
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -35,6 +35,11 @@
     static final double CANCEL_S = 30;
     static final Map<String, Object> TYPE = Map.of("name", "small", "vcpus", 4.0, "cards", 0.0, "ramGb", 32.0,
             "cacheGb", 30.0, "fetchGbPerS", 1.0, "price", 1.0, "marketPrice", 0.5, "bootS", 5.0, "sites", List.of("a"));
+    static final double TYPE_CPUS = 4;
+    /** Seconds within which each job must be answered about once troubles are over. */
+    static final double ANSWERED_S = 75;
+    /** Seconds for which a job may wait, once troubles are over, while a machine has room for it. */
+    static final double BESIDE_ROOM_S = 90;
 
     double now = 1000;
     /** The limits of the state service that the controllers are told; the value's is the one to come. */
@@ -50,6 +55,7 @@
     final Map<String, Double> cancelledAt = new HashMap<>();
     final Map<String, Integer> sizes = new HashMap<>();
     final Map<String, Boolean> gangs = new HashMap<>();
+    private final Map<String, byte[]> bodies = new HashMap<>();
     /** Run time of every task, seconds. */
     double runS = 4;
     int capacity = 40;
@@ -60,6 +66,8 @@
     /** How the next so many seconds-old replicas of a service end by themselves, if they do. */
     Cause replicasEnd;
     boolean cloudDown;
+    /** Seconds by which the cloud's list lags behind rentals. */
+    double listLagS;
     /** Whether a filter refuses connections between controllers. */
     boolean peersRefuse;
     /** Seconds by which orders sent straight to workers come late, their answers lost. */
@@ -67,7 +75,37 @@
     /** Orders sent straight to workers that hear nothing, to be delivered late. */
     final List<Runnable> heldCommands = new ArrayList<>();
     int rented;
+    /** Starts that took effect after their job's user was told that it is cancelled, orders on their way included. */
+    int startsAfterCancel;
     private final Map<String, List<Object>> hires = new HashMap<>();
+    /** Zones in which machines are rented. */
+    List<Object> zones = List.of("a");
+    /** Seconds from a rental until its machine is up. */
+    double bootS = 2;
+    private final Map<String, Team> teams = new HashMap<>();
+    private final Map<String, Asked> asked = new LinkedHashMap<>();
+    /** Run when a node begins a term, before anything else reaches it. */
+    final List<java.util.function.Consumer<Node>> onLead = new ArrayList<>();
+    private long highestToken;
+    /** Most that any team with a limit has used of it, as a share; shows that a test had a team at its limit. */
+    double fullest;
+
+    private static final Asked NOBODY = new Asked();
+
+    /** A submission as its user sent it, and the first moment at which an answer of each kind was told. */
+    private static final class Asked {
+        String team = "t";
+        double cpus;
+        String zone;
+        boolean oneZone;
+        boolean accepted;
+        /** By rank: unknown, live, over. */
+        final double[] toldAt = {Double.NaN, Double.NaN, Double.NaN};
+        String outcome;
+        double answeredAt;
+        double askedAt;
+        double waitsSince = Double.NaN;
+    }
 
     private record Event(double at, long order, Runnable run) implements Comparable<Event> {
         @Override
@@ -95,11 +133,140 @@
         this.leastValueKb = leastValueKb;
         this.txnOps = txnOps;
         state = new StateStandIn(this, 8, 8);
+        for (Team t : teams) this.teams.put(t.name(), t);
         for (int i = 0; i < controllers; i++) {
             nodes.add(new Node("c-" + i, controllers, teams));
             nodes.get(i).old = old;
         }
         for (Node n : nodes) n.boot();
+        in(0.1, this::look);
+    }
+
+    // ---- what must hold at any time ---------------------------------------------------------------------------
+
+    /** Looks at all machines ten times a second, as a hung one says nothing of itself. */
+    private void look() {
+        for (Worker w : workers.values()) for (Task t : w.held()) {
+            Double c = cancelledAt.get(t.job);
+            if (c != null && now > c + CANCEL_S) {
+                broken("ran_cancelled: " + t.job + "/" + t.index + " on " + w.name + " " + Math.round(now - c) + " s after");
+                cancelledAt.put(t.job, Double.POSITIVE_INFINITY); // said once
+            }
+        }
+        for (Team t : teams.values()) {
+            if (t.cpusMax() <= 0) continue;
+            double used = used(t.name());
+            fullest = Math.max(fullest, used / t.cpusMax());
+            if (used > t.cpusMax() + 1e-6) broken("quota: " + t.name() + " uses " + used);
+        }
+        in(0.1, this::look);
+    }
+
+    double used(String team) {
+        double n = 0;
+        for (Worker w : workers.values()) for (Task t : w.held()) {
+            Asked a = asked.get(t.job);
+            if (a != null && a.team.equals(team)) n += a.cpus;
+        }
+        return n;
+    }
+
+    /**
+     * An answer has been sent: after that, no question about the job may be answered with anything older, whoever is
+     * asked. Unknown comes before pending and running, and both before done or withdrawn, which stay as they are.
+     */
+    private void told(String id, double askedAt, String question, int code, Map<String, Object> body) {
+        if (code == 429 || code == 503) return;
+        Asked a = asked.computeIfAbsent(id, k -> new Asked());
+        String status = code == 200 || code == 201 ? String.valueOf(body.get("status")) : null;
+        int rank = status == null ? 0 : status.equals("done") || status.equals("withdrawn") ? 2 : 1;
+        if (status == null && (code == 400 || code == 422) && a.accepted && a.toldAt[1] < askedAt) {
+            broken("forgotten: " + question + " of " + id + " got " + code);
+        }
+        for (int r = rank + 1; r <= 2; r++) {
+            if (a.toldAt[r] < askedAt) {
+                broken("older answer: " + question + " of " + id + " got " + code + " " + status + ", " + a.outcome + " was told");
+            }
+        }
+        if (rank == 2 && a.outcome != null && !a.outcome.equals(status)) broken("went_back: " + id + " " + a.outcome + ", then " + status);
+        if (rank == 2) a.outcome = status;
+        if (rank > 0) {
+            a.accepted = true;
+            a.answeredAt = now;
+        }
+        for (int r = 1; r <= rank; r++) if (!(a.toldAt[r] <= now)) a.toldAt[r] = now;
+        if ("withdrawn".equals(status)) cancelledAt.putIfAbsent(id, now);
+    }
+
+    /** The submission as it was first sent. */
+    byte[] body(String id) {
+        return bodies.get(id);
+    }
+
+    /** Jobs that were accepted. */
+    List<String> accepted() {
+        return asked.entrySet().stream().filter(e -> e.getValue().accepted).map(Map.Entry::getKey).toList();
+    }
+
+    String outcome(String id) {
+        return asked.get(id).outcome;
+    }
+
+    /**
+     * The last trouble is over: each job that was accepted is answered about, none waits beside room, and within the time
+     * each ends, or runs if it is a service.
+     */
+    void settle(double mostS) {
+        double from = now;
+        for (Asked a : asked.values()) a.waitsSince = Double.NaN;
+        int turn = 0;
+        while (now < from + mostS) {
+            boolean all = true;
+            int polls = 0;
+            List<String> open = new ArrayList<>(accepted());
+            open.sort(java.util.Comparator.comparingDouble(id -> asked.get(id).askedAt));
+            for (String id : open) {
+                Asked a = asked.get(id);
+                if (a.outcome != null) continue;
+                // Each about every five seconds, at one node after the other, and no more than the nodes' budgets take.
+                if (now - a.askedAt > 5 && polls < 40) {
+                    polls++;
+                    a.askedAt = now;
+                    Node n = nodes.get((turn + polls) % nodes.size());
+                    if (n.up) n.askLater("poll", id, r -> n.users.poll(id, r), null);
+                }
+                if (now - Math.max(from, a.answeredAt) > ANSWERED_S) broken("forgotten: nobody answers about " + id);
+                if (runs(id) && services.contains(id)) continue;
+                if (runs(id) || cancelledAt.containsKey(id) || faulty.contains(id) || !room(a)) a.waitsSince = Double.NaN;
+                else if (Double.isNaN(a.waitsSince)) a.waitsSince = now;
+                if (now - a.waitsSince > BESIDE_ROOM_S) broken("waits beside room: " + id);
+                all = false;
+            }
+            if (all || !broken.isEmpty()) return;
+            turn++;
+            run(1);
+        }
+        for (String id : accepted()) {
+            if (asked.get(id).outcome == null && !(services.contains(id) && runs(id))) broken("not over: " + id);
+        }
+    }
+
+    boolean runs(String id) {
+        for (Worker w : workers.values()) for (Task t : w.held()) if (t.job.equals(id)) return true;
+        return false;
+    }
+
+    private boolean room(Asked a) {
+        Team t = teams.get(a.team);
+        if (t != null && t.cpusMax() > 0 && used(a.team) + a.cpus > t.cpusMax()) return false;
+        for (Worker w : workers.values()) {
+            if (w.gone || w.cut || w.deaf || w.mute || w.sick || w.hangsUntil > now || now < w.bornS + bootS) continue;
+            if (a.zone != null && !a.zone.equals(w.zone)) continue;
+            double used = 0;
+            for (Task u : w.held()) used += asked.get(u.job).cpus;
+            if (used + a.cpus <= TYPE_CPUS) return true;
+        }
+        return false;
     }
 
     void in(double s, Runnable r) {
@@ -150,6 +317,8 @@
         StateStandIn.Link link = StateStandIn.Link.GOOD;
         boolean cutFromPeers;
         boolean cutFromWorkers;
+        /** Whether it is in a zone that is cut off from the rest. */
+        boolean inside;
         private int process;
         /** When it goes on, while it stands still: nothing of it runs, but its clocks do. */
         double frozenUntil;
@@ -177,7 +346,8 @@
             for (int i = 0; i < count; i++) if (!label.equals("c-" + i)) others.add(new Settings.Peer("c-" + i, "x:1"));
             Settings s = new Settings(label, "a", "x:1", "x:2", others, "x:3", "x:4", 25, teams, List.of(), 2, leaseS,
                     50, 6, CANCEL_S, 200, 25, 8, leastValueKb, txnOps, 4, 10, 1000, 360);
-            Calls st = alive(mine, old ? asProduction(state.calls(() -> link)) : state.calls(() -> link));
+            Calls plain = state.calls(this, () -> inside ? StateStandIn.Link.SILENT : link);
+            Calls st = alive(mine, old ? asProduction(plain) : plain);
             StateClient client = new StateClient(st, st, () -> now, 200, count);
             controller = new Controller(s, Operators.defaults(), client, alive(mine, World.this::cloud),
                     a -> alive(mine, commands(a, this)), () -> now,
@@ -194,6 +364,7 @@
                     return;
                 }
                 controller.tick();
+                noticeLeading();
                 in(Constants.TICK_MS / 1000.0, tick[0]);
             };
             in(0, tick[0]);
@@ -205,7 +376,7 @@
                     return;
                 }
                 for (Node n : nodes) {
-                    if (n == this || n.frozenUntil > now || n.cutFromPeers || cutFromPeers) continue;
+                    if (n == this || n.frozenUntil > now || n.cutFromPeers || cutFromPeers || n.inside != inside) continue;
                     if (!n.up || peersRefuse) {
                         controller.peerRefused(n.label);
                         continue;
@@ -253,6 +424,12 @@
             restartAfter(s);
         }
 
+        private void noticeLeading() {
+            if (!controller.leads() || controller.token() <= highestToken) return;
+            highestToken = controller.token();
+            for (var f : List.copyOf(onLead)) f.accept(this);
+        }
+
         /** An answer that comes after the process has ended reaches nobody. */
         private Calls alive(int mine, Calls c) {
             return (method, path, body, ms, then) -> {
@@ -261,7 +438,9 @@
                     freeze(freezeForS);
                 }
                 awake(() -> c.call(method, path, body, ms, a -> awake(() -> {
-                    if (process == mine) then.accept(a);
+                    if (process != mine) return;
+                    then.accept(a);
+                    noticeLeading();
                 })));
             };
         }
@@ -289,25 +468,38 @@
 
         /** One request of a user, waited for; {@code null} if no answer came in time. */
         Map<String, Object> ask(java.util.function.Consumer<Users.Reply> request) {
+            return ask("request", null, request);
+        }
+
+        private Map<String, Object> ask(String question, String id, java.util.function.Consumer<Users.Reply> request) {
             List<Map<String, Object>> got = new ArrayList<>();
-            if (!up) return null;
+            if (!up || frozenUntil > now) return null;
+            askLater(question, id, request, got::add);
+            until(5, () -> !got.isEmpty());
+            return got.isEmpty() ? null : got.get(0);
+        }
+
+        /** The same without waiting; every answer is held against all that were sent before its question. */
+        void askLater(String question, String id, java.util.function.Consumer<Users.Reply> request,
+                      java.util.function.Consumer<Map<String, Object>> then) {
+            if (!up || frozenUntil > now) return;
+            double askedAt = now;
+            int mine = process;
             request.accept((status, body) -> {
+                if (process != mine) return;
                 Map<String, Object> m = new LinkedHashMap<>(body == null ? Map.of() : body);
+                if (id != null) told(id, askedAt, question + " at " + label, status, m);
                 m.put("code", status);
-                got.add(m);
+                if (then != null) then.accept(m);
             });
-            until(5, () -> !got.isEmpty());
-            return got.isEmpty() ? null : got.get(0);
         }
 
         Map<String, Object> poll(String id) {
-            return ask(r -> users.poll(id, r));
+            return ask("poll", id, r -> users.poll(id, r));
         }
 
         Map<String, Object> abort(String id) {
-            Map<String, Object> a = ask(r -> users.abort(id, r));
-            if (a != null && "withdrawn".equals(a.get("status"))) cancelledAt.putIfAbsent(id, now);
-            return a;
+            return ask("abort", id, r -> users.abort(id, r));
         }
 
         Map<String, Object> submit(String id, int tasks, boolean gang) {
@@ -315,6 +507,11 @@
         }
 
         Map<String, Object> submit(String id, int tasks, boolean gang, Map<String, Object> more) {
+            byte[] body = body(id, tasks, gang, more);
+            return ask("submission", id, r -> users.submit(body, r));
+        }
+
+        private byte[] body(String id, int tasks, boolean gang, Map<String, Object> more) {
             Map<String, Object> m = new LinkedHashMap<>();
             m.put("nameId", id);
             m.put("lane", "l");
@@ -334,11 +531,35 @@
             m.put("bookmarkS", 0.0);
             m.put("stashS", 0.0);
             m.putAll(more);
-            if ("daemon".equals(m.get("shape"))) services.add(id);
-            sizes.put(id, tasks);
-            gangs.put(id, gang);
+            if ("daemon".equals(m.get("shape")) && !asked.getOrDefault(id, NOBODY).accepted) services.add(id);
             byte[] body = Cbor.write(m);
-            return ask(r -> users.submit(body, r));
+            Asked a = asked.computeIfAbsent(id, k -> new Asked());
+            if (!a.accepted) {
+                sizes.put(id, tasks);
+                gangs.put(id, gang);
+                bodies.put(id, body);
+                a.team = String.valueOf(m.get("crew"));
+                a.cpus = m.get("vcpus") instanceof Number n ? n.doubleValue() : 0;
+                a.zone = (String) m.get("site");
+                a.oneZone = Boolean.TRUE.equals(m.get("oneZone"));
+            }
+            return body;
+        }
+
+        /** Sends a new submission without waiting. */
+        void sendFresh(String id, int tasks) {
+            send(id, tasks, false, Map.of());
+        }
+
+        void send(String id, int tasks, boolean gang, Map<String, Object> more) {
+            if (!up) return;
+            byte[] body = body(id, tasks, gang, more);
+            askLater("submission", id, r -> users.submit(body, r), null);
+        }
+
+        /** Sends the submission once more, as it was. */
+        void repeat(String id) {
+            askLater("submission", id, r -> users.submit(bodies.get(id), r), null);
         }
     }
 
@@ -374,7 +595,7 @@
     private Calls commands(String address, Node from) {
         return (method, path, body, ms, then) -> {
             Worker w = workers.get(address);
-            if (w == null || w.cut || from.cutFromWorkers) {
+            if (w == null || !w.reaches(from)) {
                 in(ms / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), false)));
                 return;
             }
@@ -407,7 +628,9 @@
                 status = 503;
                 a = Map.of("error", "trouble");
             } else if (path.equals("/flavors")) {
-                a = Map.of("builds", List.of(TYPE));
+                Map<String, Object> t = new LinkedHashMap<>(TYPE);
+                t.put("sites", zones);
+                a = Map.of("builds", List.of(t));
             } else if (path.equals("/hosts/release")) {
                 for (Object o : Fields.list(body, "rigs")) {
                     Worker w = workers.remove((String) o);
@@ -418,7 +641,7 @@
                 List<Object> names = hires.computeIfAbsent(Fields.str(body, "hire"), h -> {
                     List<Object> l = new ArrayList<>();
                     for (long k = Fields.num(body, "howMany", 1); k > 0 && workers.size() < capacity; k--) {
-                        l.add(worker().name);
+                        l.add(worker(Fields.str(body, "site", "a")).name);
                     }
                     return l;
                 });
@@ -427,7 +650,8 @@
             } else {
                 List<Object> l = new ArrayList<>();
                 for (Worker w : workers.values()) {
-                    l.add(Map.of("nameId", w.name, "address", w.name, "build", "small", "site", "a", "loaners", false,
+                    if (now - w.bornS < listLagS) continue;
+                    l.add(Map.of("nameId", w.name, "address", w.name, "build", "small", "site", w.zone, "loaners", false,
                             "status", now - w.diedAt > 30 ? "failed" : "running", "ageS", now - w.bornS));
                 }
                 a = Map.of("rigs", l, "hasNext", false);
@@ -436,11 +660,11 @@
         });
     }
 
-    Worker worker() {
-        Worker w = new Worker(String.format("n-%06d", ++rented));
+    Worker worker(String zone) {
+        Worker w = new Worker(String.format("n-%06d", ++rented), zone);
         workers.put(w.name, w);
-        in(2, w::beat);
-        in(2, w::live);
+        in(bootS, w::beat);
+        in(bootS, w::live);
         return w;
     }
 
@@ -480,15 +704,36 @@
         boolean deaf;
         /** Nothing leaves. */
         boolean cut;
+        /** No report leaves, but orders sent straight here arrive. */
+        boolean mute;
+        /** Whether it is in a zone that is cut off from the rest. */
+        boolean inside;
+        final String zone;
         /** When it goes on, while it hangs: tasks stand still, and so does what it would hear or say. */
         double hangsUntil;
+        /** Seconds by which its reports are held up on their way; the answers are not. */
+        double reportLateS;
+        /** Whether a report of its was overtaken by the answer to orders sent straight here, and answered all the same. */
+        boolean overtaken;
+        private long direct;
         /** Every report sent, for late copies. */
         final List<Report> sent = new ArrayList<>();
         int starts;
 
-        Worker(String name) {
+        Worker(String name, String zone) {
             this.name = name;
-            this.leaseFrom = now + 2;
+            this.zone = zone;
+            this.leaseFrom = now + bootS;
+        }
+
+        boolean reaches(Node n) {
+            return !cut && !n.cutFromWorkers && inside == n.inside;
+        }
+
+        /** Tasks on the machine; a hung one that its lease has outrun will kill them before anything else. */
+        List<Task> held() {
+            if (gone || now - leaseFrom > leaseS + 0.1) return List.of();
+            return tasks.values().stream().filter(t -> t.state != TaskState.EXITED).toList();
         }
 
         /** Stops with all that is on it; the cloud's list tells so half a minute later. */
@@ -527,12 +772,6 @@
                     changed = true;
                 }
             }
-            for (Task t : tasks.values()) {
-                Double c = cancelledAt.get(t.job);
-                if (t.state != TaskState.EXITED && c != null && now > c + CANCEL_S) {
-                    broken("ran_cancelled: " + t.job + "/" + t.index + " on " + name);
-                }
-            }
             in(0.1, this::live);
         }
 
@@ -549,7 +788,7 @@
             for (Task t : tasks.values()) {
                 items.add(new Report.Item(t.job, t.index, t.attempt, t.state, t.cause, false));
             }
-            return new Report(name, name, "small", "a", false, session, ++sequence, token, Double.NaN, items);
+            return new Report(name, name, "small", zone, false, session, ++sequence, token, Double.NaN, items);
         }
 
         void beat() {
@@ -560,14 +799,15 @@
                 return;
             }
             Node n = nodes.get(at);
-            if (cut || n.cutFromWorkers || !n.up) {
-                elsewhere(cut || n.cutFromWorkers ? 5 : 1);
+            if (mute || !reaches(n) || !n.up) {
+                elsewhere(mute || !reaches(n) ? 5 : 1);
                 return;
             }
             Report r = report();
             sent.add(r);
             double sentAt = now;
-            in(0.002, () -> {
+            in(0.002 + reportLateS, () -> {
+                overtaken |= direct > r.sequence() && n.up && n.controller.leads();
                 if (n.frozenUntil > now) {
                     // It waits in the socket and is read on waking, when nobody waits for the answer any more.
                     in(n.frozenUntil - now, () -> {
@@ -628,6 +868,7 @@
                 }
             }
             Report r = report();
+            direct = r.sequence();
             List<Object> pieces = new ArrayList<>();
             for (Report.Item i : r.tasks()) {
                 Map<String, Object> p = new HashMap<>();
@@ -639,7 +880,7 @@
                 pieces.add(p);
             }
             then.accept(new Http.Answer(good ? 200 : 409, Map.of("rig", name, "address", name, "build", "small", "site",
-                    "a", "loaners", false, "stint", r.session(), "tick", r.sequence(), "baton", token, "pieces", pieces), true));
+                    zone, "loaners", false, "stint", r.session(), "tick", r.sequence(), "baton", token, "pieces", pieces), true));
         }
 
         void carryOut(Order o) {
@@ -652,13 +893,16 @@
                 case START -> {
                     if (t != null) return;
                     if (state.value("j/" + job) == null && state.value("f/" + job) == null) broken("start of unknown " + job);
-                    for (Worker w : workers.values()) for (Task u : w.tasks.values()) {
-                        if (u.job.equals(job) && u.index == index && u.state != TaskState.EXITED) {
-                            broken("ran_twice: " + o.task() + " on " + w.name + " and " + name);
-                        }
+                    Asked a = asked.get(job);
+                    if (a != null && a.zone != null && !a.zone.equals(zone)) broken("wrong_place: " + key + " in " + zone);
+                    for (Worker w : workers.values()) for (Task u : w.held()) {
+                        if (!u.job.equals(job)) continue;
+                        if (u.index == index) broken("ran_twice: " + o.task() + " on " + w.name + " and " + name);
+                        if (a != null && a.oneZone && !w.zone.equals(zone)) broken("wrong_place: " + key + " in two zones");
                     }
                     Double c = cancelledAt.get(job);
                     if (c != null && now > c + CANCEL_S) broken("ran_cancelled: start of " + key);
+                    if (c != null) startsAfterCancel++;
                     starts++;
                     t = new Task(job, index, o.attempt());
                     if (gangs.getOrDefault(job, false)) t.state = TaskState.WAITING;
--- a/src/test/java/org/mountlug/peer/PeerTest.java
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -31,6 +31,22 @@
         assertThrows(IllegalArgumentException.class, () -> PeerCodec.next(ByteBuffer.allocate(8).putInt(1 << 20).rewind()));
     }
 
+    /** A list that does not fit its frame says so; one that does is told whole. */
+    @ParameterizedTest(name = "{0} ids, one of {1} characters")
+    @CsvSource({"0, 9, false", "120, 9, false", "121, 9, false", "405, 9, false", "407, 9, true", "3000, 9, true", "2, 128, true",
+            "2, 127, false"})
+    void aListThatDoesNotFitIsToldAsAnOverflow(int ids, int longest, boolean overflow) {
+        List<String> l = new java.util.ArrayList<>();
+        for (int i = 0; i < ids; i++) l.add(String.format("wk-%06d", i));
+        if (longest > 9) l.set(0, "w".repeat(longest));
+        ByteBuffer b = PeerCodec.answer(new PeerCodec.Answer(5, -9, true, 77, 968, false, l));
+        assertTrue(b.remaining() <= PeerCodec.FRAME_MAX);
+        PeerCodec.Answer a = PeerCodec.answer(PeerCodec.next(b));
+        assertEquals(overflow, a.overflow());
+        if (!overflow) assertEquals(l, a.aborts());
+        else assertTrue(a.aborts().size() < ids && l.containsAll(a.aborts()));
+    }
+
     @Test
     void aSilentPeerHasProvenNothing() {
         answer("y", 9, 1, false);
@@ -100,6 +116,16 @@
         assertEquals(all, v.allAnsweredSince(10));
     }
 
+    /** Told again and again a job keeps its one place, and the time of its first word. */
+    @Test
+    void aCancellationToldAgainIsListedOnce() {
+        for (int t = 5; t < 20; t++) v.aborted("wk-000001", t);
+        assertEquals(List.of("wk-000001"), v.aborts(24));
+        assertTrue(v.aborts(26).isEmpty());
+        v.aborted("wk-000001", 27);
+        assertEquals(List.of("wk-000001"), v.aborts(28));
+    }
+
     @Test
     void abortsAreToldForAWhile() {
         v.aborted("wk-000001", 5);
