--- a/src/main/java/org/mountlug/node/LiveRecords.java
+++ b/src/main/java/org/mountlug/node/LiveRecords.java
@@ -62,10 +62,11 @@
     private Map<String, Job> loading = new LinkedHashMap<>();
     private final Set<String> unreadable = new HashSet<>();
     /**
-     * Jobs of which a user was told that they are cancelled and which this term did not know yet. A notice may come
-     * while records read before it are still being loaded, so it is kept until there is something to apply it to.
+     * Jobs of which a user was told that they are cancelled and which this term did not know yet, and when we heard of it.
+     * A notice may come while records read before it are still being loaded, so it is kept until there is something to
+     * apply it to, or until an answer of the state service to a later question shows that the job is over.
      */
-    private final Set<String> told = new HashSet<>();
+    private final Map<String, Double> told = new HashMap<>();
     private boolean loaded;
     private long watchFrom;
     /**
@@ -106,7 +107,12 @@
     /** A user was told that this job is cancelled; the record says so too, but may not be readable now. */
     void abortTold(String id) {
         if (loaded && term.knows(id)) term.cancelled(id);
-        else told.add(id);
+        else told.put(id, clockS.getAsDouble());
+    }
+
+    /** Notices that wait for something to be applied to. */
+    int noticesKept() {
+        return told.size();
     }
 
     private void later(Runnable r, int ms) {
@@ -198,7 +204,7 @@
     private void adopt(Job j, double now) {
         String id = j.spec.id();
         term.adopt(j, now);
-        if (told.remove(id) && term.knows(id)) term.cancelled(id);
+        if (told.remove(id) != null && term.knows(id)) term.cancelled(id);
     }
 
     private void loadReservations() {
@@ -240,7 +246,7 @@
             if (term.ended()) return;
             if (a.status() == 200) term.images(Fields.map(a.body().get("v")));
             loaded = true;
-            for (String id : List.copyOf(told)) {
+            for (String id : List.copyOf(told.keySet())) {
                 if (!term.knows(id)) continue;
                 told.remove(id);
                 term.cancelled(id);
@@ -269,6 +275,8 @@
                 }
                 watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
                 viewS = Math.max(viewS, asked);
+                // What was told is durable, so these would have been shown by now, were they not over.
+                told.values().removeIf(heardS -> heardS < asked);
                 later(this::watch, Constants.WATCH_PAUSE_MS);
             } else if (a.status() == 410) {
                 reload(null, true);
--- a/src/test/java/org/mountlug/node/LiveRecordsTest.java
+++ b/src/test/java/org/mountlug/node/LiveRecordsTest.java
@@ -120,6 +120,19 @@
         assertEquals(List.of("wk-000002"), cancelled);
     }
 
+    /** Nobody will ever know a job that was over before: its notices, repeated by every peer, must not pile up. */
+    @ParameterizedTest(name = "heard {0} s after the watch was opened: kept {1}")
+    @CsvSource({"-1, 0", "1, 1"})
+    void noticesOfJobsThatAreOverAreForgottenOnceAWatchShowsNothingOfThem(double afterS, int kept) {
+        load(-1);
+        if (afterS > 0) now += afterS;
+        else now -= 1; // the last answer of the loading and the opening of the watch are one moment
+        for (int i = 0; i < 50; i++) records.abortTold("wk-000077");
+        assertEquals(1, records.noticesKept());
+        answer(3, 200, Map.of("epoch", 20L, "news", List.of()));
+        assertEquals(kept, records.noticesKept());
+    }
+
     /** What was read first was asked for at 100 s; the watch is opened at 104 s. */
     @ParameterizedTest(name = "{0}: known until {1} s")
     @CsvSource({"loaded, 100", "watch answered late, 104", "watch refused, 100", "watch unanswered, 100", "410, 100",
--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -604,6 +604,42 @@
         end(w, 200);
     }
 
+    /** Jobs bound to one zone, arrays too, lose machines, their zone fills up, and the leader changes. */
+    @ParameterizedTest(name = "{0} bound by {1}, machines {2}, the leader ends {3}, the zone full {4}")
+    @CsvSource({"array, one zone, die, false, false", "array, one zone, cut, true, true", "gang, one zone, die, true, true",
+            "service, one zone, cut, false, true", "array, site, die, true, true", "gang, site, cut, false, false",
+            "service, site, hang, true, true", "array, one zone, die, true, true", "array, one zone, hang, false, true"})
+    void jobsBoundToOneZoneLoseMachines(String shape, String by, String how, boolean ends, boolean full) {
+        World w = new World(3);
+        w.zones = List.of("a", "b");
+        w.runS = 80;
+        Map<String, Object> more = new HashMap<>(by.equals("site") ? Map.of("site", "a") : Map.of("oneZone", true));
+        if (shape.equals("service")) more.put("shape", "daemon");
+        for (int i = 1; i <= 4; i++) w.accept(id(i), 8, shape.equals("gang"), more);
+        assertTrue(w.until(60, () -> on(w, id(1)) + on(w, id(2)) + on(w, id(3)) + on(w, id(4)) == 32), "all run");
+        if (full) for (String z : List.of("a", "b")) {
+            w.zoneCapacity.put(z, (int) w.workers.values().stream().filter(k -> k.zone.equals(z)).count());
+        }
+        int i = 0;
+        for (World.Worker k : new ArrayList<>(w.workers.values())) {
+            if (i++ % 3 == 0) continue;
+            if (how.equals("die")) k.die();
+            else if (how.equals("cut")) {
+                k.cut = true;
+                w.in(24, () -> k.cut = false);
+            } else k.hangsUntil = w.now + 9.2;
+        }
+        if (ends) w.leader().restartAfter(0.4);
+        w.run(26);
+        w.runS = 5;
+        if (shape.equals("service")) {
+            w.run(60);
+            for (int j = 1; j <= 4; j++) assertEquals(8, on(w, id(j)), "all replicas run again");
+            for (int j = 1; j <= 4; j++) w.nodes.get(0).abort(id(j));
+        }
+        end(w, 250);
+    }
+
     /** Workers that reach nobody while orders straight to them arrive, and the leader changes or jobs are cancelled. */
     @ParameterizedTest(name = "for {0} s, the leader ends {1}, cancelled {2}, {3}")
     @CsvSource({"6, false, true, array", "14, false, true, gang", "14, true, false, array", "30, true, true, gang",
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -59,6 +59,8 @@
     /** Run time of every task, seconds. */
     double runS = 4;
     int capacity = 40;
+    /** How many machines a zone has at the most, where that is less. */
+    final Map<String, Integer> zoneCapacity = new HashMap<>();
     /** Jobs that were submitted with a mistake: their tasks fail everywhere. */
     final java.util.Set<String> faulty = new java.util.HashSet<>();
     /** Services, whose replicas run until they are stopped. */
@@ -640,8 +642,11 @@
             } else if (path.equals("/hosts")) {
                 List<Object> names = hires.computeIfAbsent(Fields.str(body, "hire"), h -> {
                     List<Object> l = new ArrayList<>();
+                    String zone = Fields.str(body, "site", "a");
                     for (long k = Fields.num(body, "howMany", 1); k > 0 && workers.size() < capacity; k--) {
-                        l.add(worker(Fields.str(body, "site", "a")).name);
+                        if (workers.values().stream().filter(w -> w.zone.equals(zone)).count()
+                                >= zoneCapacity.getOrDefault(zone, Integer.MAX_VALUE)) break;
+                        l.add(worker(zone).name);
                     }
                     return l;
                 });
