--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -329,6 +329,41 @@
         end(w, 150);
     }
 
+    /** What a leader wrote before it was deposed and that is carried out under the next one changes nothing. */
+    @ParameterizedTest(name = "{0} s into the next term")
+    @ValueSource(doubles = {0.02, 1, 8})
+    void aWriteOfADeposedLeaderIsCarriedOutUnderTheNext(double intoS) {
+        World w = new World(3);
+        w.capacity = 3;
+        w.runS = 40;
+        w.accept(id(1), 8, false, Map.of("dueS", 15.0));
+        assertTrue(w.until(60, () -> on(w, id(1)) == 8));
+        w.run(3);
+        World.Node old = w.leader();
+        w.state.onMulti = (from, body) -> {
+            if (from == old && body.toString().contains("put=j/" + id(2))) old.link = StateStandIn.Link.SILENT;
+        };
+        other(w, old).submit(id(2), 4, false, Map.of("dueS", 5.0));
+        assertTrue(w.until(20, () -> old.link == StateStandIn.Link.SILENT), "it placed the job");
+        w.state.onMulti = null;
+        old.cutFromPeers = true;
+        for (World.Worker k : w.workers.values()) k.cut = true; // so that the next leader has not written the job yet
+        assertTrue(w.until(12, () -> w.leader() != old && w.leader() != null));
+        w.run(intoS);
+        assertTrue(!w.state.heldBack.isEmpty());
+        Object before = w.state.value("j/" + id(2));
+        long token = w.leader().token();
+        w.state.heldBack.forEach(Runnable::run);
+        w.state.heldBack.clear();
+        assertEquals(before, w.state.value("j/" + id(2)));
+        w.run(2);
+        assertEquals(token, w.leader().token(), "nobody takes it for a newer leader's");
+        for (World.Worker k : w.workers.values()) k.cut = false;
+        old.link = StateStandIn.Link.GOOD;
+        old.cutFromPeers = false;
+        end(w, 200);
+    }
+
     /** A write of reservations that is carried out after newer ones of the same term must not come back. */
     @Test
     void reservationsWrittenLateDoNotReplaceNewerOnes() {
