--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -320,12 +320,14 @@
         for (World.Worker k : w.workers.values()) k.slow = slow[0] += 0.6;
         for (World.Node n : w.nodes) n.link = link;
         World.Node old = w.leader();
+        long token = old.token();
         if (endsS < 90) w.in(endsS, () -> old.restartAfter(1.5));
         w.in(1, () -> w.nodes.get(1).askLater("abort", id(4), r -> w.nodes.get(1).users.abort(id(4), r), null));
         w.run(9);
         for (World.Node n : w.nodes) n.link = StateStandIn.Link.GOOD;
         w.run(lateS);
         assertTrue(link == StateStandIn.Link.LATE ? w.state.lateCarriedOut > 1 : w.state.unheard > 0);
+        if (endsS >= 90) assertEquals(token, w.leader().token(), "nobody takes its own late write for another leader's");
         end(w, 150);
     }
 
@@ -577,6 +579,49 @@
         end(w, 150);
     }
 
+    /**
+     * Once a user was told that a job is cancelled, nothing of it starts any more, but for what the leader sends before it
+     * can have heard: through its watch in a moment, and from the others within a second where it is refused.
+     */
+    @ParameterizedTest(name = "cancelled {0} s after the write of its places, the leader {1}")
+    @CsvSource({"0.001, served", "0.005, served", "0.02, served", "0.1, served", "0.3, served", "0.001, refused", "0.005, refused",
+            "0.02, refused", "0.1, refused", "0.3, refused", "0.02, ends", "0.005, ends"})
+    void nothingStartsOnceTheLeaderCanHaveHeardOfACancellation(double afterS, String leader) {
+        World w = new World(3);
+        w.runS = 30;
+        w.accept(id(90), 24, false, Map.of("dueS", 20.0));
+        assertTrue(w.until(60, () -> on(w, id(90)) == 24));
+        w.nodes.get(0).abort(id(90));
+        w.run(4);
+        w.latestStartS = -1;
+        int[] met = new int[1];
+        World.Node old = w.leader();
+        World.Node teller = other(w, old);
+        for (int i = 1; i <= 4; i++) {
+            String id = id(i);
+            w.in(0.35 * i, () -> teller.sendFresh(id, 5));
+        }
+        w.state.onMulti = (from, body) -> {
+            for (int i = 1; i <= 4; i++) {
+                String id = id(i);
+                if (from != old || w.cancelledAt.containsKey(id) || !body.toString().contains("put=j/" + id)) continue;
+                w.in(afterS, () -> {
+                    if (leader.equals("refused")) old.link = StateStandIn.Link.REFUSED;
+                    if (leader.equals("ends") && old.up) old.restartAfter(0.3);
+                    teller.askLater("abort", id, r -> teller.users.abort(id, r), a -> met[0]++);
+                });
+            }
+        };
+        w.run(5);
+        w.state.onMulti = null;
+        old.link = StateStandIn.Link.GOOD;
+        assertTrue(met[0] > 0, "jobs were cancelled just after they were placed");
+        w.run(10);
+        double most = leader.equals("refused") ? 1.1 : 0.4;
+        assertTrue(w.latestStartS < most, () -> "a start " + w.latestStartS + " s after");
+        end(w, 100);
+    }
+
     /** The leader changes ten times in two minutes, also inside an outage, with jobs cancelled between. */
     @ParameterizedTest(name = "outage {0}, {1}")
     @CsvSource({"false, array", "true, array", "true, gang", "false, service"})
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -77,8 +77,8 @@
     /** Orders sent straight to workers that hear nothing, to be delivered late. */
     final List<Runnable> heldCommands = new ArrayList<>();
     int rented;
-    /** Starts that took effect after their job's user was told that it is cancelled, orders on their way included. */
-    int startsAfterCancel;
+    /** The longest time after a told cancellation at which a start took effect; negative if none did. */
+    double latestStartS = -1;
     private final Map<String, List<Object>> hires = new HashMap<>();
     /** Zones in which machines are rented. */
     List<Object> zones = List.of("a");
@@ -907,7 +907,7 @@
                     }
                     Double c = cancelledAt.get(job);
                     if (c != null && now > c + CANCEL_S) broken("ran_cancelled: start of " + key);
-                    if (c != null) startsAfterCancel++;
+                    if (c != null) latestStartS = Math.max(latestStartS, now - c);
                     starts++;
                     t = new Task(job, index, o.attempt());
                     if (gangs.getOrDefault(job, false)) t.state = TaskState.WAITING;
