--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -720,6 +720,39 @@
         end(w, 250);
     }
 
+    /** A job bound to one zone loses machines while only the other zone has room: it waits for its own. */
+    @ParameterizedTest(name = "{0}, the leader ends {1}")
+    @CsvSource({"array, false", "array, true", "service, false", "service, true"})
+    void whatIsBoundToAZoneDoesNotGoWhereThereIsRoom(String shape, boolean ends) {
+        World w = new World(3);
+        w.zones = List.of("a", "b");
+        w.runS = 120;
+        Map<String, Object> more = new HashMap<>(Map.of("oneZone", true));
+        if (shape.equals("service")) more.put("shape", "daemon");
+        w.accept(id(1), 8, false, more);
+        assertTrue(w.until(60, () -> on(w, id(1)) == 8));
+        String zone = w.workers.values().stream().filter(k -> !k.held().isEmpty()).findFirst().orElseThrow().zone;
+        String elsewhere = zone.equals("a") ? "b" : "a";
+        w.zoneCapacity.put(zone, 0);
+        w.worker(elsewhere);
+        w.worker(elsewhere);
+        w.run(6);
+        List<World.Worker> there = w.workers.values().stream().filter(k -> k.zone.equals(zone))
+                .sorted(java.util.Comparator.comparingInt(k -> k.held().size())).toList();
+        for (World.Worker k : there.subList(0, there.size() - 1)) k.die();
+        if (ends) w.leader().restartAfter(0.4);
+        w.run(14);
+        assertTrue(on(w, id(1)) <= 4, "room elsewhere is none for it");
+        w.zoneCapacity.clear();
+        w.run(60);
+        if (shape.equals("service")) {
+            assertEquals(8, on(w, id(1)));
+            w.nodes.get(0).abort(id(1));
+        }
+        w.runS = 5;
+        end(w, 200);
+    }
+
     /** Workers that reach nobody while orders straight to them arrive, and the leader changes or jobs are cancelled. */
     @ParameterizedTest(name = "for {0} s, the leader ends {1}, cancelled {2}, {3}")
     @CsvSource({"6, false, true, array", "14, false, true, gang", "14, true, false, array", "30, true, true, gang",
