--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -104,6 +104,8 @@
         /** By rank: unknown, live, over. */
         final double[] toldAt = {Double.NaN, Double.NaN, Double.NaN};
         String outcome;
+        /** Tasks that have completed, wherever. */
+        final java.util.Set<Integer> completed = new java.util.HashSet<>();
         double answeredAt;
         double askedAt;
         double waitsSince = Double.NaN;
@@ -192,6 +194,9 @@
         }
         if (rank == 2 && a.outcome != null && !a.outcome.equals(status)) broken("went_back: " + id + " " + a.outcome + ", then " + status);
         if (rank == 2) a.outcome = status;
+        // A gang completes together, so one of its tasks is enough.
+        int least = gangs.getOrDefault(id, false) ? 1 : sizes.getOrDefault(id, 1);
+        if ("done".equals(status) && a.completed.size() < least) broken("not_done: " + id + " with " + a.completed.size() + " tasks done");
         if (rank > 0) {
             a.accepted = true;
             a.answeredAt = now;
@@ -774,6 +779,7 @@
                 if (fails || t.ranS >= runS && (!service || replicasEnd != null)) {
                     t.state = TaskState.EXITED;
                     t.cause = fails ? Cause.ERROR : service ? replicasEnd : Cause.DONE;
+                    if (t.cause == Cause.DONE && asked.containsKey(t.job)) asked.get(t.job).completed.add(t.index);
                     changed = true;
                 }
             }
