--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -554,16 +554,21 @@
         end(w, 200);
     }
 
-    /** One-task jobs four a second, a quarter of them cancelled, while leaders change. */
+    /** One-task jobs four a second, a quarter of them cancelled, many submitted again once over, while leaders change. */
     @Test
     void aSwarmOfOneTaskJobsAQuarterCancelled() {
         World w = new World(3);
         w.runS = 2;
+        w.state.rps = 200;
+        w.state.writeRps = 25;
         for (int i = 0; i < 240; i++) {
             int n = i;
             w.in(2 + i * 0.25, () -> {
                 World.Node a = w.nodes.get(n % 3);
                 if (a.up) a.sendFresh(id(n), 1);
+                if (n % 3 == 0) w.in(6 + n % 11, () -> {
+                    if (w.accepted().contains(id(n))) w.nodes.get((n + 2) % 3).repeat(id(n));
+                });
                 if (n % 4 == 1) w.in(0.05 + n % 13 * 0.3, () -> {
                     World.Node b = w.nodes.get((n + 1) % 3);
                     b.askLater("abort", id(n), r -> b.users.abort(id(n), r), null);
@@ -576,6 +581,8 @@
         w.run(66);
         assertTrue(w.accepted().size() > 150);
         assertTrue(w.cancelledAt.size() > 30);
+        // Some eight changes a second come from users and as many from the work: both have their part of the limit.
+        assertTrue(w.state.limited <= 5, () -> w.state.limited + " requests were over the limits");
         end(w, 150);
     }
 
@@ -861,17 +868,24 @@
     void moreWorkThanRoomOverSlowLinks(double slowS, boolean ends) {
         World w = new World(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 8, 0, 0, 0, 1)));
         w.capacity = 4;
-        w.runS = 6;
+        w.runS = 45;
         w.commandLateS = slowS;
         w.state.slowS = slowS / 4;
         for (int i = 1; i <= 4; i++) w.accept(id(i), 10, false, Map.of("urgency", "idle"));
         w.run(8);
-        for (int i = 11; i <= 14; i++) w.accept(id(i), 6, i % 2 == 0, Map.of("urgency", i % 2 == 0 ? "prod" : "high", "crew", "u"));
+        for (int i = 11; i <= 14; i++) {
+            Map<String, Object> more = new HashMap<>(Map.of("urgency", i % 2 == 0 ? "prod" : "high", "crew", "u"));
+            if (i % 2 == 0) more.put("shape", "daemon");
+            w.accept(id(i), 6, false, more);
+        }
         w.run(4);
         if (ends) w.leader().restartAfter(2);
-        w.run(10);
+        w.run(20);
+        for (int i = 12; i <= 14; i += 2) assertEquals(6, on(w, id(i)), "what is urgent has taken the place of what is not");
         w.commandLateS = 0;
         w.state.slowS = 0;
+        w.runS = 6;
+        for (int i = 12; i <= 14; i += 2) w.nodes.get(0).abort(id(i));
         end(w, 250);
     }
 
--- a/src/test/java/org/mountlug/node/StateStandIn.java
+++ b/src/test/java/org/mountlug/node/StateStandIn.java
@@ -26,6 +26,14 @@
 
     /** Seconds by which transactions over a {@link Link#LATE} link are carried out late, and how many were and succeeded. */
     double lateS = 3;
+    /** Requests and changes a second that it takes, with a burst of one second's worth; none where not set. */
+    double rps = Double.POSITIVE_INFINITY;
+    double writeRps = Double.POSITIVE_INFINITY;
+    /** How many requests were refused by these limits. */
+    int limited;
+    private double requestsLeft = Double.NaN;
+    private double writesLeft;
+    private double countedS;
     /** Seconds by which every answer takes longer. */
     double slowS;
     /** Sees each transaction just before it leaves its node. */
@@ -87,6 +95,7 @@
             } else world.in(0.002, () -> {
                 if (path.startsWith("/watch")) watch(path, world.now + timeoutMs / 1000.0, link, then);
                 else if (l == Link.REFUSED || outage) answer(then, 503, Map.of());
+                else if (overLimit(copy)) answer(then, 429, Map.of());
                 else serve(method, path, copy, then);
             });
         };
@@ -101,6 +110,17 @@
         }
     }
 
+    private boolean overLimit(Map<String, Object> body) {
+        if (Double.isInfinite(rps)) return false;
+        double gone = Double.isNaN(requestsLeft) ? 1 : world.now - countedS;
+        countedS = world.now;
+        requestsLeft = Math.min(rps, (Double.isNaN(requestsLeft) ? 0 : requestsLeft) + gone * rps) - 1;
+        writesLeft = Math.min(writeRps, writesLeft + gone * writeRps) - Fields.list(body, "writes").size();
+        if (requestsLeft >= 0 && writesLeft >= 0) return false;
+        limited++;
+        return true;
+    }
+
     private void answer(Consumer<Http.Answer> then, int status, Map<String, Object> body) {
         world.in(0.002 + slowS, () -> then.accept(new Http.Answer(status, copy(body), true)));
     }
