--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -1,10 +1,25 @@
 package org.mountlug.node;
 
+import io.undertow.util.Methods;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.mountlug.Constants;
+import org.mountlug.agent.AgentCodec;
 import org.mountlug.cloud.CloudCodec;
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.allocate.ReplicaTimes;
-import org.mountlug.agent.AgentCodec;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.lead.Election;
@@ -23,29 +38,13 @@
 import org.mountlug.store.Change;
 import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.wire.Calls;
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.Http;
 import org.mountlug.wire.Json;
-import org.mountlug.wire.Calls;
-import io.undertow.util.Methods;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.function.BiConsumer;
-import java.util.function.DoubleSupplier;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
-
 /**
  * One term of leadership: loads the live work, answers workers, runs the rounds and writes what they decide. A new term
  * gets a new object, so nothing of an older one survives. Runs on the I/O thread.
@@ -63,6 +62,7 @@
     private final Function<String, Calls> workers;
     /** Machines with orders on their way that were sent straight to them. */
     private final Set<String> commanded = new HashSet<>();
+
     private final DoubleSupplier clockS;
     private final LongSupplier epochMs;
     private final BiConsumer<Runnable, Integer> timer;
@@ -80,12 +80,14 @@
     private int orphansInFlight;
     /** Whether every controller is durably known to read parts, so that they may be written. */
     private boolean parts;
+
     private boolean readingVersions;
     private double nextVersionsS;
     /** How many transactions to come hold one job each, to find the one that the state service refuses. */
     private int oneByOne;
     /** Until when reservations are not written, after they were refused. */
     private double reservationsAgainS;
+
     private boolean loaded;
     private boolean ended;
     private final double beganS;
@@ -113,15 +115,27 @@
     private double lastRoundS;
     /** Whether somebody waits for the next round by the second. */
     private boolean hurry;
+
     private double nextListS;
     private double nextCatalogueS;
     private double nextFlushS;
     private double nextImagesS;
     private Map<String, Object> imagesWritten = Map.of();
 
-    Leader(Settings settings, Operators operators, Election election, StateClient state, Calls cloud, Function<String, Calls> workers,
-           DoubleSupplier clockS, LongSupplier epochMs, BiConsumer<Runnable, Integer> timer, Aims aims,
-           Collection<MachineType> types, FinalStates finals, Metrics metrics) {
+    Leader(
+            Settings settings,
+            Operators operators,
+            Election election,
+            StateClient state,
+            Calls cloud,
+            Function<String, Calls> workers,
+            DoubleSupplier clockS,
+            LongSupplier epochMs,
+            BiConsumer<Runnable, Integer> timer,
+            Aims aims,
+            Collection<MachineType> types,
+            FinalStates finals,
+            Metrics metrics) {
         this.settings = settings;
         this.election = election;
         this.state = state;
@@ -136,11 +150,13 @@
         cluster = new Cluster(election.token(), settings.leaseS(), settings.teams());
         cluster.catalogue(types);
         cluster.valueLimit(settings.valueKb());
-        scaler = new Scaler(cluster, aims, settings.leaseS(), settings.reportS(), operators.idleKeepS(), operators.spotRisk());
+        scaler = new Scaler(
+                cluster, aims, settings.leaseS(), settings.reportS(), operators.idleKeepS(), operators.spotRisk());
         preemptor = new Preemptor(cluster);
         double w = settings.stateWriteRps() * Constants.LEADER_WRITE_SHARE;
         writes = new Budget(w, w);
-        cloudCalls = new Budget(settings.cloudRps() * Constants.RENT_CALL_SHARE,
+        cloudCalls = new Budget(
+                settings.cloudRps() * Constants.RENT_CALL_SHARE,
                 settings.cloudRps() * Constants.RENT_CALL_SHARE * Constants.CLOUD_BURST_S);
         beganS = clockS.getAsDouble();
         cluster.woke(beganS); // who was silent before was not silent to us
@@ -156,7 +172,11 @@
     /** Machines that have been heard of and are not known to be gone. */
     int machinesUp() {
         int n = 0;
-        for (Machine m : cluster.machines.values()) if (m.up && !m.unlisted) n++;
+        for (Machine m : cluster.machines.values()) {
+            if (m.up && !m.unlisted) {
+                n++;
+            }
+        }
         return n;
     }
 
@@ -195,18 +215,29 @@
         @Override
         public void changed(String id, Map<String, Object> v, long stamp, double now) {
             Job j = cluster.jobs.get(id);
-            if (stamp <= j.stamp) return;
+            if (stamp <= j.stamp) {
+                return;
+            }
             String w = Fields.str(v, "w", "");
-            if (inFlight != null) for (Item i : inFlight) if (i.job == j && i.own && i.writeId.equals(w)) persisted(i, stamp);
+            if (inFlight != null) {
+                for (Item i : inFlight) {
+                    if (i.job == j && i.own && i.writeId.equals(w)) {
+                        persisted(i, stamp);
+                    }
+                }
+            }
             if (!w.equals(j.writeId)) {
-                // Only a newer leader writes records, so this term is over; it went on watching while it was not served.
+                // Only a newer leader writes records, so this term is over; it went on watching while it was not
+                // served.
                 LOG.info("deposed: record of {} was written by another leader", id);
                 election.depose();
                 ended = true;
                 return;
             }
             j.stamp = stamp;
-            if (Fields.bool(v, "x")) cancelled(id);
+            if (Fields.bool(v, "x")) {
+                cancelled(id);
+            }
         }
 
         @Override
@@ -218,7 +249,9 @@
         public void reservations(Map<String, List<Reservation>> byJob, Map<String, Long> stamps) {
             byJob.forEach((id, l) -> {
                 reservationsWritten.put(id, l);
-                if (cluster.jobs.containsKey(id)) cluster.reservations.put(id, l);
+                if (cluster.jobs.containsKey(id)) {
+                    cluster.reservations.put(id, l);
+                }
             });
             reservationStamps.putAll(stamps);
         }
@@ -228,7 +261,8 @@
             imagesWritten = v;
             for (Map.Entry<String, Object> e : v.entrySet()) {
                 if (e.getValue() instanceof List<?> l) {
-                    cluster.expectImages(e.getKey(), l.stream().map(String::valueOf).toList());
+                    cluster.expectImages(
+                            e.getKey(), l.stream().map(String::valueOf).toList());
                 }
             }
         }
@@ -236,14 +270,19 @@
         @Override
         public void loaded() {
             loaded = true;
-            LOG.info("leading with token {}: {} live jobs, {} machines with tasks", cluster.token(),
-                    cluster.jobs.size(), cluster.machines.size());
+            LOG.info(
+                    "leading with token {}: {} live jobs, {} machines with tasks",
+                    cluster.token(),
+                    cluster.jobs.size(),
+                    cluster.machines.size());
         }
 
         @Override
         public void cancelled(String id) {
             Job j = cluster.jobs.get(id);
-            if (!j.cancelled) cluster.cancelled(j, clockS.getAsDouble());
+            if (!j.cancelled) {
+                cluster.cancelled(j, clockS.getAsDouble());
+            }
         }
 
         @Override
@@ -253,9 +292,13 @@
     }
 
     private void later(Runnable r, int ms) {
-        timer.accept(() -> {
-            if (!ended) r.run();
-        }, ms);
+        timer.accept(
+                () -> {
+                    if (!ended) {
+                        r.run();
+                    }
+                },
+                ms);
     }
 
     private void persisted(Item i, long stamp) {
@@ -274,15 +317,21 @@
         if (!j.dirty()) {
             j.dirtySinceS = Double.NaN;
             j.urgent = false;
-        } else j.dirtySinceS = clockS.getAsDouble();
+        } else {
+            j.dirtySinceS = clockS.getAsDouble();
+        }
     }
 
     /** The job has moved to the finished ones; {@code told} whether its outcome is known. */
     private void over(Job j, boolean told, boolean done, long stamp) {
-        for (int p = 1; p < j.parts(); p++) orphans.add(RecordCodec.partKey(j.spec.id(), p));
+        for (int p = 1; p < j.parts(); p++) {
+            orphans.add(RecordCodec.partKey(j.spec.id(), p));
+        }
         j.leftover.stream().forEach(p -> orphans.add(RecordCodec.partKey(j.spec.id(), p)));
         cluster.finished(j, stamp);
-        if (!told) return;
+        if (!told) {
+            return;
+        }
         finals.put(j.spec.id(), done, j.spec.tasks());
         metrics.finished(done);
     }
@@ -294,8 +343,11 @@
      * read the records knows of no cancellation, however old, and so may renew nothing.
      */
     boolean mayRenew(double nowS) {
-        return nowS < records.knownUntilS() + settings.cancelS() - settings.leaseS() * (1 + Constants.DRIFT)
-                - Constants.CANCEL_MARGIN_S;
+        return nowS
+                < records.knownUntilS()
+                        + settings.cancelS()
+                        - settings.leaseS() * (1 + Constants.DRIFT)
+                        - Constants.CANCEL_MARGIN_S;
     }
 
     LiveRecords records() {
@@ -316,20 +368,35 @@
     // ---- the clock --------------------------------------------------------------------------------------------
 
     void tick() {
-        if (ended || !loaded) return;
+        if (ended || !loaded) {
+            return;
+        }
         double now = clockS.getAsDouble();
-        if (!parts && now >= nextVersionsS && !readingVersions) versions(now);
-        if (now >= nextCatalogueS) catalogue(now);
-        if (now >= nextListS && !listing) list(now, null, new ArrayList<>());
-        if (cluster.roomCameFree()) hurry = true;
+        if (!parts && now >= nextVersionsS && !readingVersions) {
+            versions(now);
+        }
+        if (now >= nextCatalogueS) {
+            catalogue(now);
+        }
+        if (now >= nextListS && !listing) {
+            list(now, null, new ArrayList<>());
+        }
+        if (cluster.roomCameFree()) {
+            hurry = true;
+        }
         boolean early = hurry && now >= lastRoundS + Constants.EARLY_ROUND_MS / 1000.0;
         if (now >= nextRoundS || early) {
             hurry = false;
             lastRoundS = now;
-            if (early) nextRoundS = now + Constants.ROUND_MS / 1000.0;
-            else nextRoundS = Math.max(nextRoundS + Constants.ROUND_MS / 1000.0, now + Constants.ROUND_MS / 2000.0);
+            if (early) {
+                nextRoundS = now + Constants.ROUND_MS / 1000.0;
+            } else {
+                nextRoundS = Math.max(nextRoundS + Constants.ROUND_MS / 1000.0, now + Constants.ROUND_MS / 2000.0);
+            }
             round(now);
-            if (early) nextFlushS = 0;
+            if (early) {
+                nextFlushS = 0;
+            }
         }
         straight(now);
         if (now >= nextImagesS) {
@@ -344,22 +411,35 @@
 
     /** Sends what must not wait for a machine's next report straight to its worker. */
     private void straight(double now) {
-        // Stops of cancelled jobs leave without a proof of leading, too: no write to a state service that does not serve
+        // Stops of cancelled jobs leave without a proof of leading, too: no write to a state service that does not
+        // serve
         // us may be waited for, and a later leader's worker refuses them by their token.
         boolean proven = election.proven(now);
         for (Machine m : cluster.machines.values()) {
-            if (m.placed.isEmpty() || commanded.contains(m.name)) continue;
-            if (commanded.size() >= Constants.COMMANDS_MOST) return;
-            List<Order> orders = cluster.urgent(m, proven,
-                    commanded.size() < Constants.COMMANDS_ORDINARY, now);
-            if (orders.isEmpty()) continue;
+            if (m.placed.isEmpty() || commanded.contains(m.name)) {
+                continue;
+            }
+            if (commanded.size() >= Constants.COMMANDS_MOST) {
+                return;
+            }
+            List<Order> orders = cluster.urgent(m, proven, commanded.size() < Constants.COMMANDS_ORDINARY, now);
+            if (orders.isEmpty()) {
+                continue;
+            }
             commanded.add(m.name);
             long session = m.session;
-            workers.apply(m.address).call(Methods.POST, "/commands", AgentCodec.command(cluster.token(), session, orders),
-                    Constants.COMMAND_TIMEOUT_MS, a -> {
-                        commanded.remove(m.name);
-                        if (!ended) answered(m, session, orders, a);
-                    });
+            workers.apply(m.address)
+                    .call(
+                            Methods.POST,
+                            "/commands",
+                            AgentCodec.command(cluster.token(), session, orders),
+                            Constants.COMMAND_TIMEOUT_MS,
+                            a -> {
+                                commanded.remove(m.name);
+                                if (!ended) {
+                                    answered(m, session, orders, a);
+                                }
+                            });
         }
     }
 
@@ -369,7 +449,9 @@
             LOG.info("deposed: {} knows token {}", m.name, r.token());
             election.depose();
         } else if (a.status() == 200) {
-            if (r != null) cluster.carriedOut(m, r, orders, clockS.getAsDouble());
+            if (r != null) {
+                cluster.carriedOut(m, r, orders, clockS.getAsDouble());
+            }
         } else if (a.status() == 409 || a.status() == 400 || !a.sent()) {
             cluster.refused(m, session, orders);
         }
@@ -385,7 +467,9 @@
         nextVersionsS = now + Constants.VERSIONS_MS / 1000.0;
         state.list(RecordCodec.VERSIONS, null, a -> {
             readingVersions = false;
-            if (ended || a.status() != 200) return;
+            if (ended || a.status() != 200) {
+                return;
+            }
             Set<String> reads = new HashSet<>();
             for (Object o : Fields.list(a.body(), "rows")) {
                 Map<String, Object> r = Fields.map(o);
@@ -393,14 +477,24 @@
                     reads.add(Fields.str(r, "k").substring(RecordCodec.VERSIONS.length()));
                 }
             }
-            if (!reads.contains(settings.label())) return;
-            for (Settings.Peer p : settings.others()) if (!reads.contains(p.label())) return;
+            if (!reads.contains(settings.label())) {
+                return;
+            }
+            for (Settings.Peer p : settings.others()) {
+                if (!reads.contains(p.label())) {
+                    return;
+                }
+            }
             LOG.info("every controller reads parts of records; they are written from now on");
             parts = true;
             cluster.partsAllowed();
             double at = clockS.getAsDouble();
             // What may be larger than the limits to come is written anew while it need not be in a hurry.
-            for (Job j : cluster.jobs.values()) if (mustSplit(j)) j.touch(at, false);
+            for (Job j : cluster.jobs.values()) {
+                if (mustSplit(j)) {
+                    j.touch(at, false);
+                }
+            }
         });
     }
 
@@ -418,37 +512,54 @@
 
     private void writeImages(double now) {
         Map<String, Object> v = RecordCodec.images(cluster.machines.values(), valueChars());
-        if (v.equals(imagesWritten) || !election.proven(now) || !writes.take(now, 1)) return;
+        if (v.equals(imagesWritten) || !election.proven(now) || !writes.take(now, 1)) {
+            return;
+        }
         state.commit(new Change().guard(RecordCodec.LEADER, cluster.token()).put(RecordCodec.IMAGES, v), a -> {
-            if (a.status() == 200) imagesWritten = v;
+            if (a.status() == 200) {
+                imagesWritten = v;
+            }
         });
     }
 
     private void round(double now) {
         // Judging by silence needs a hold: otherwise another leader may be keeping the machines alive.
-        if (!election.proven(now)) return;
+        if (!election.proven(now)) {
+            return;
+        }
         cluster.expireLeases(now);
         cluster.reviewStandbys(now);
         scaler.drain(now);
         double epochS = epochMs.getAsLong() / 1000.0;
         ReplicaTimes times = new ReplicaTimes(j -> aims.withinS(j.spec, 0), now);
-        Allocator round = new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS),
-                times, now);
+        Allocator round =
+                new Allocator(cluster, j -> aims.orderKey(j.spec, j.open(), cluster.expectedS(j), epochS), times, now);
         int placed = round.round();
         metrics.placed(placed);
         List<Job> unplaced = new ArrayList<>();
-        for (Job j : cluster.jobs.values()) if (!j.cancelled && j.open() > 0) unplaced.add(j);
-        unplaced.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
+        for (Job j : cluster.jobs.values()) {
+            if (!j.cancelled && j.open() > 0) {
+                unplaced.add(j);
+            }
+        }
+        unplaced.sort(Comparator.comparing((Job j) -> j.spec.urgency())
+                .reversed()
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, j.spec.expectedS())));
         preemptor.round(unplaced, round.nodes(), round.usage(), times, now);
-        if (now < rentAgainS) rentals.clear();
+        if (now < rentAgainS) {
+            rentals.clear();
+        }
         // Until the first list a new leader does not know of the idle machines, and would rent them all again.
         if (listed && rentals.isEmpty() && renting == 0 && now >= rentAgainS) {
             rentals.addAll(scaler.rentals(now, epochS));
             rent();
         }
-        if (!returning) release(scaler.returns(now, epochS));
-        for (String s : cluster.takeNotes()) LOG.info("{}", s);
+        if (!returning) {
+            release(scaler.returns(now, epochS));
+        }
+        for (String s : cluster.takeNotes()) {
+            LOG.info("{}", s);
+        }
         metrics.reserved(cluster.reservations.size());
         metrics.fleet(cluster.jobs.size(), cluster.machines.size());
     }
@@ -456,24 +567,38 @@
     // ---- flush ------------------------------------------------------------------------------------------------
 
     private void flush(double now) {
-        if (waiting || now < retryAtS) return;
+        if (waiting || now < retryAtS) {
+            return;
+        }
         if (change != null) {
             send();
             return;
         }
-        if (!election.proven(now)) return;
+        if (!election.proven(now)) {
+            return;
+        }
         int room = (int) Math.min(settings.txnOps(), Math.floor(writes.level(now) + 1e-9));
-        if (room < 1) return;
+        if (room < 1) {
+            return;
+        }
         Change c = new Change().guard(RecordCodec.LEADER, cluster.token());
         List<Item> items = new ArrayList<>();
         int bytes = 0;
         List<Job> dirty = new ArrayList<>();
         for (Job j : cluster.jobs.values()) {
-            if (j.over() && !j.dirty()) j.touch(now, true);
-            if (now < refusedUntil.getOrDefault(j.spec.id(), 0.0)) continue;
-            if (j.dirty() && (j.urgent || now - j.dirtySinceS > Constants.LAZY_FLUSH_MS / 1000.0)) dirty.add(j);
+            if (j.over() && !j.dirty()) {
+                j.touch(now, true);
+            }
+            if (now < refusedUntil.getOrDefault(j.spec.id(), 0.0)) {
+                continue;
+            }
+            if (j.dirty() && (j.urgent || now - j.dirtySinceS > Constants.LAZY_FLUSH_MS / 1000.0)) {
+                dirty.add(j);
+            }
         }
-        dirty.sort(Comparator.comparing((Job j) -> !j.spec.service()).thenComparing(j -> !j.over()).thenComparing(j -> !j.urgent)
+        dirty.sort(Comparator.comparing((Job j) -> !j.spec.service())
+                .thenComparing(j -> !j.over())
+                .thenComparing(j -> !j.urgent)
                 .thenComparingDouble(j -> j.dirtySinceS));
         boolean alone = oneByOne > 0;
         int used = alone && !dirty.isEmpty() || now < reservationsAgainS ? 0 : reservations(c, room);
@@ -482,8 +607,12 @@
             // At least one part with the job's own record, or a job of many parts would be put off for ever.
             int cost = over || j.partsToWrite(1).length > 0 ? 2 : 1;
             if (used + cost > room) {
-                if (used > 0) break;
-                if (settings.txnOps() >= cost) return; // wait until the budget covers it
+                if (used > 0) {
+                    break;
+                }
+                if (settings.txnOps() >= cost) {
+                    return; // wait until the budget covers it
+                }
             }
             String key = RecordCodec.LIVE + j.spec.id();
             String writeId = cluster.token() + "." + ++writeCounter;
@@ -494,7 +623,9 @@
                 items.add(new Item(j, true, j.endsAsDone(), true, new int[0], j.version, writeId));
                 used += cost;
             } else {
-                if (mustSplit(j)) split(j, now);
+                if (mustSplit(j)) {
+                    split(j, now);
+                }
                 int[] all = j.partsToWrite(room - used + 1);
                 // The record that says that there are parts is written last: until then the old one, which nothing
                 // replaces, holds all that is durable, and what is written ahead counts for nothing.
@@ -513,17 +644,25 @@
                 items.add(new Item(j, false, false, own, some, j.version, writeId));
                 used += some.length + (own ? 1 : 0);
             }
-            if (alone || used >= room || bytes > Constants.TXN_BYTES) break;
+            if (alone || used >= room || bytes > Constants.TXN_BYTES) {
+                break;
+            }
+        }
+        if (alone) {
+            oneByOne--;
         }
-        if (alone) oneByOne--;
         orphansInFlight = 0;
         for (String k : orphans) {
-            if (alone || used >= room || orphansInFlight >= Constants.ORPHANS_MOST) break;
+            if (alone || used >= room || orphansInFlight >= Constants.ORPHANS_MOST) {
+                break;
+            }
             c.delete(k);
             orphansInFlight++;
             used++;
         }
-        if (used == 0) return;
+        if (used == 0) {
+            return;
+        }
         writes.take(now, used);
         inFlight = items;
         change = c;
@@ -533,26 +672,36 @@
 
     /** From now on the job is stored in parts. */
     private void split(Job j, double now) {
-        if (!RecordCodec.fits(j.written, valueChars())) j.written = j.written.narrowed(typeNames());
+        if (!RecordCodec.fits(j.written, valueChars())) {
+            j.written = j.written.narrowed(typeNames());
+        }
         RecordCodec.Layout l = layout(j);
         j.split(l.own(), l.per(), now);
     }
 
     private Set<String> typeNames() {
         Set<String> names = new HashSet<>();
-        for (MachineType t : cluster.types()) names.add(t.name());
+        for (MachineType t : cluster.types()) {
+            names.add(t.name());
+        }
         return names;
     }
 
     private int reservations(Change c, int room) {
         int used = 0;
         reservationsInFlight = null;
-        if (cluster.reservations.equals(reservationsWritten)) return 0;
+        if (cluster.reservations.equals(reservationsWritten)) {
+            return 0;
+        }
         Map<String, List<Reservation>> next = new HashMap<>(reservationsWritten);
         for (Map.Entry<String, List<Reservation>> e : cluster.reservations.entrySet()) {
-            if (used >= room || e.getValue().equals(next.get(e.getKey()))) continue;
+            if (used >= room || e.getValue().equals(next.get(e.getKey()))) {
+                continue;
+            }
             Job j = cluster.jobs.get(e.getKey());
-            if (j == null) continue;
+            if (j == null) {
+                continue;
+            }
             guardReservation(c, e.getKey());
             c.guard(RecordCodec.LIVE + e.getKey(), j.stamp);
             c.put(RecordCodec.RESERVED + e.getKey(), RecordCodec.reservations(e.getValue(), valueChars()));
@@ -560,7 +709,9 @@
             used++;
         }
         for (String id : new ArrayList<>(next.keySet())) {
-            if (used >= room || cluster.reservations.containsKey(id)) continue;
+            if (used >= room || cluster.reservations.containsKey(id)) {
+                continue;
+            }
             guardReservation(c, id);
             c.delete(RecordCodec.RESERVED + id);
             next.remove(id);
@@ -581,7 +732,9 @@
     /** After a failed condition: what is stored is read anew, as the failed change may have been carried out before. */
     private void rereadReservations(Runnable then) {
         state.list(RecordCodec.RESERVED, null, a -> {
-            if (ended) return;
+            if (ended) {
+                return;
+            }
             if (a.status() != 200) {
                 later(() -> rereadReservations(then), 300);
                 return;
@@ -599,7 +752,9 @@
     /** The reservations on their way are stored, each that changed as of this revision. */
     private void reserved(long epoch) {
         for (Map.Entry<String, List<Reservation>> e : reservationsInFlight.entrySet()) {
-            if (!e.getValue().equals(reservationsWritten.get(e.getKey()))) reservationStamps.put(e.getKey(), epoch);
+            if (!e.getValue().equals(reservationsWritten.get(e.getKey()))) {
+                reservationStamps.put(e.getKey(), epoch);
+            }
         }
         reservationStamps.keySet().retainAll(reservationsInFlight.keySet());
         reservationsWritten = reservationsInFlight;
@@ -609,17 +764,25 @@
         waiting = true;
         state.commit(change, a -> {
             waiting = false;
-            if (ended) return;
+            if (ended) {
+                return;
+            }
             double now = clockS.getAsDouble();
             switch (a.status()) {
                 case 200 -> {
                     long epoch = Fields.num(a.body(), "epoch", 0);
                     for (Item i : inFlight) {
                         // The watch may have shown this write already.
-                        if (cluster.jobs.get(i.job.spec.id()) == i.job) persisted(i, epoch);
+                        if (cluster.jobs.get(i.job.spec.id()) == i.job) {
+                            persisted(i, epoch);
+                        }
+                    }
+                    if (reservationsInFlight != null) {
+                        reserved(epoch);
+                    }
+                    for (int k = 0; k < orphansInFlight; k++) {
+                        orphans.poll();
                     }
-                    if (reservationsInFlight != null) reserved(epoch);
-                    for (int k = 0; k < orphansInFlight; k++) orphans.poll();
                     settled();
                     nextFlushS = 0;
                 }
@@ -632,8 +795,9 @@
                     }
                     waiting = true;
                     ArrayDeque<Item> read = new ArrayDeque<>(inFlight);
-                    if (reservationsInFlight == null) readBack(read);
-                    else {
+                    if (reservationsInFlight == null) {
+                        readBack(read);
+                    } else {
                         retryAtS = now + Constants.STALE_RESERVATION_S; // the watch shows the jobs' records meanwhile
                         rereadReservations(() -> readBack(read));
                     }
@@ -644,16 +808,23 @@
                     if (unknown) { // an earlier copy may have been carried out before the limits were lowered
                         waiting = true;
                         readBack(new ArrayDeque<>(inFlight));
-                    } else settled();
+                    } else {
+                        settled();
+                    }
                 }
                 case 429, 503 -> {
-                    if (!unknown) settled(); // certainly not executed; what it held is still dirty
+                    if (!unknown) {
+                        settled(); // certainly not executed; what it held is still dirty
+                    }
                     retryAtS = now + 0.4;
                 }
                 default -> {
                     // It may have been executed or yet be: only the same change again gives a definite answer.
-                    if (a.sent()) unknown = true;
-                    else if (!unknown) settled();
+                    if (a.sent()) {
+                        unknown = true;
+                    } else if (!unknown) {
+                        settled();
+                    }
                     retryAtS = now + 0.3;
                 }
             }
@@ -671,7 +842,9 @@
         } else if (inFlight.size() == 1) {
             Job j = inFlight.get(0).job;
             refusedUntil.put(j.spec.id(), now + Constants.REFUSED_CHANGE_S);
-            if (!unknown) cluster.withdraw(j, now + Constants.REFUSED_CHANGE_S);
+            if (!unknown) {
+                cluster.withdraw(j, now + Constants.REFUSED_CHANGE_S);
+            }
         } else {
             reservationsAgainS = now + Constants.REFUSED_CHANGE_S;
             orphans.clear(); // found again by the next leader
@@ -697,14 +870,19 @@
         Item i = left.peek();
         String id = i.job.spec.id();
         state.get(RecordCodec.LIVE + id, Constants.STATE_TIMEOUT_MS, a -> {
-            if (ended) return;
+            if (ended) {
+                return;
+            }
             if (a.status() == 200) {
-                records.record(id, Fields.map(a.body().get("v")), Fields.num(a.body(), "stamp", 0), clockS.getAsDouble());
+                records.record(
+                        id, Fields.map(a.body().get("v")), Fields.num(a.body(), "stamp", 0), clockS.getAsDouble());
                 left.poll();
                 readBack(left);
             } else if (a.status() == 404) {
                 readFinal(left);
-            } else later(() -> readBack(left), 300);
+            } else {
+                later(() -> readBack(left), 300);
+            }
         });
     }
 
@@ -716,15 +894,24 @@
         Item i = left.peek();
         String id = i.job.spec.id();
         state.get(RecordCodec.FINAL + id, Constants.STATE_TIMEOUT_MS, a -> {
-            if (ended) return;
+            if (ended) {
+                return;
+            }
             if (a.status() != 200 && a.status() != 404) {
                 later(() -> readBack(left), 300);
                 return;
             }
-            if (a.status() == 404) LOG.error("record of {} is gone", id);
+            if (a.status() == 404) {
+                LOG.error("record of {} is gone", id);
+            }
             if (cluster.jobs.get(id) == i.job) {
-                boolean done = a.status() == 200 && Fields.bool(Fields.map(a.body().get("v")), "done");
-                over(i.job, a.status() == 200, done, Fields.num(a.body(), a.status() == 200 ? "stamp" : "epoch", i.job.stamp));
+                boolean done =
+                        a.status() == 200 && Fields.bool(Fields.map(a.body().get("v")), "done");
+                over(
+                        i.job,
+                        a.status() == 200,
+                        done,
+                        Fields.num(a.body(), a.status() == 200 ? "stamp" : "epoch", i.job.stamp));
             }
             left.poll();
             readBack(left);
@@ -736,7 +923,9 @@
     private void catalogue(double now) {
         nextCatalogueS = now + Constants.CATALOGUE_MS / 1000.0;
         cloud.call(Methods.GET, "/flavors", null, Constants.CLOUD_TIMEOUT_MS, a -> {
-            if (ended) return;
+            if (ended) {
+                return;
+            }
             if (a.status() != 200) {
                 nextCatalogueS = clockS.getAsDouble() + 3;
                 return;
@@ -746,9 +935,12 @@
             cluster.catalogue(types);
             Map<String, Object> kept = CloudCodec.catalogue(types);
             // A help for nodes that start while the cloud is down; one too large for a value is not kept.
-            if ((first || !catalogueKept) && Json.length(kept) <= valueChars() && writes.take(clockS.getAsDouble(), 1)) {
-                state.commit(new Change().guard(RecordCodec.LEADER, cluster.token())
-                        .put(RecordCodec.CATALOGUE, kept), b -> catalogueKept = b.status() == 200);
+            if ((first || !catalogueKept)
+                    && Json.length(kept) <= valueChars()
+                    && writes.take(clockS.getAsDouble(), 1)) {
+                state.commit(
+                        new Change().guard(RecordCodec.LEADER, cluster.token()).put(RecordCodec.CATALOGUE, kept),
+                        b -> catalogueKept = b.status() == 200);
             }
         });
     }
@@ -758,10 +950,16 @@
     private void list(double now, String after, List<org.mountlug.core.scale.Listed> sofar) {
         listing = true;
         nextListS = now + Constants.LIST_MS / 1000.0;
-        cloud.call(Methods.GET, "/hosts?" + (after == null ? "" : "after=" + after + "&") + "page=500", null,
-                Constants.CLOUD_TIMEOUT_MS, a -> {
+        cloud.call(
+                Methods.GET,
+                "/hosts?" + (after == null ? "" : "after=" + after + "&") + "page=500",
+                null,
+                Constants.CLOUD_TIMEOUT_MS,
+                a -> {
                     listing = false;
-                    if (ended || a.status() != 200) return;
+                    if (ended || a.status() != 200) {
+                        return;
+                    }
                     sofar.addAll(CloudCodec.listed(a.body()));
                     if (CloudCodec.more(a.body()) && !sofar.isEmpty()) {
                         list(now, sofar.get(sofar.size() - 1).name(), sofar);
@@ -770,8 +968,12 @@
                     listed = true;
                     List<String> failed = cluster.listed(sofar, settings.listLagS(), clockS.getAsDouble());
                     if (!failed.isEmpty()) {
-                        cloud.call(Methods.POST, "/hosts/release", CloudCodec.release(failed),
-                                Constants.CLOUD_TIMEOUT_MS, b -> {});
+                        cloud.call(
+                                Methods.POST,
+                                "/hosts/release",
+                                CloudCodec.release(failed),
+                                Constants.CLOUD_TIMEOUT_MS,
+                                b -> {});
                     }
                 });
     }
@@ -779,12 +981,16 @@
     private void rent() {
         while (!ended && renting < Constants.RENTALS_OPEN && !rentals.isEmpty()) {
             if (!cloudCalls.take(clockS.getAsDouble(), 1)) {
-                if (rentLater) return;
+                if (rentLater) {
+                    return;
+                }
                 rentLater = true;
-                later(() -> {
-                    rentLater = false;
-                    rent();
-                }, 250);
+                later(
+                        () -> {
+                            rentLater = false;
+                            rent();
+                        },
+                        250);
                 return;
             }
             renting++;
@@ -794,21 +1000,41 @@
 
     private void rent(Rental r, int tries) {
         cloud.call(Methods.POST, "/hosts", CloudCodec.rent(r), Constants.CLOUD_TIMEOUT_MS, a -> {
-            if (ended) return;
+            if (ended) {
+                return;
+            }
             double now = clockS.getAsDouble();
             if (a.status() == 200) {
                 List<String> names = CloudCodec.rented(a.body());
-                for (String n : names) cluster.rented(n, r.type(), r.zone(), r.spot(), now);
-                LOG.info("rented {} of {} {} in {}{}: {}", names.size(), r.count(), r.type(), r.zone(),
-                        r.spot() ? " spot" : "", names);
-                if (names.size() < r.count()) exhausted(r, now);
+                for (String n : names) {
+                    cluster.rented(n, r.type(), r.zone(), r.spot(), now);
+                }
+                LOG.info(
+                        "rented {} of {} {} in {}{}: {}",
+                        names.size(),
+                        r.count(),
+                        r.type(),
+                        r.zone(),
+                        r.spot() ? " spot" : "",
+                        names);
+                if (names.size() < r.count()) {
+                    exhausted(r, now);
+                }
             } else if (a.none() && tries < 3) {
                 later(() -> rent(r, tries + 1), 500); // the same name gives the same machines
                 return;
             } else if (a.status() == 503 || a.status() == 429) {
-                LOG.info("no {} in {}{}: {}", r.type(), r.zone(), r.spot() ? " spot" : "", a.body().get("error"));
-                if (!"trouble".equals(a.body().get("error")) && a.status() == 503) exhausted(r, now);
-                else rentAgainS = now + Constants.CLOUD_TROUBLE_S; // the whole interface is down or we ask too much
+                LOG.info(
+                        "no {} in {}{}: {}",
+                        r.type(),
+                        r.zone(),
+                        r.spot() ? " spot" : "",
+                        a.body().get("error"));
+                if (!"trouble".equals(a.body().get("error")) && a.status() == 503) {
+                    exhausted(r, now);
+                } else {
+                    rentAgainS = now + Constants.CLOUD_TROUBLE_S; // the whole interface is down or we ask too much
+                }
             }
             renting--;
             rent();
@@ -822,13 +1048,19 @@
     }
 
     private void release(List<String> names) {
-        if (names.isEmpty()) return;
+        if (names.isEmpty()) {
+            return;
+        }
         returning = true;
         List<String> l = new ArrayList<>(names);
         cloud.call(Methods.POST, "/hosts/release", CloudCodec.release(l), Constants.CLOUD_TIMEOUT_MS, a -> {
             returning = false;
-            if (ended || a.status() != 200) return;
-            for (String n : l) cluster.machineGone(n, clockS.getAsDouble(), "returned");
+            if (ended || a.status() != 200) {
+                return;
+            }
+            for (String n : l) {
+                cluster.machineGone(n, clockS.getAsDouble(), "returned");
+            }
         });
     }
 }
--- a/src/main/java/org/mountlug/node/LiveRecords.java
+++ b/src/main/java/org/mountlug/node/LiveRecords.java
@@ -1,14 +1,5 @@
 package org.mountlug.node;
 
-import org.mountlug.Constants;
-import org.mountlug.core.model.Job;
-import org.mountlug.core.model.Reservation;
-import org.mountlug.store.RecordCodec;
-import org.mountlug.store.StateClient;
-import org.mountlug.wire.Fields;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -17,6 +8,14 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
+import org.mountlug.Constants;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateClient;
+import org.mountlug.wire.Fields;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * How a leader comes to know the live work: all records are read once at the start of its term and watched from then on,
@@ -60,6 +59,7 @@
     private final Term term;
     /** Jobs as read at the start of the term, until their parts are read too; null from then on. */
     private Map<String, Job> loading = new LinkedHashMap<>();
+
     private final Set<String> unreadable = new HashSet<>();
     /**
      * Jobs of which a user was told that they are cancelled and which this term did not know yet, and when we heard of it.
@@ -67,6 +67,7 @@
      * apply it to, or until an answer of the state service to a later question shows that the job is over.
      */
     private final Map<String, Double> told = new HashMap<>();
+
     private boolean loaded;
     private long watchFrom;
     /**
@@ -106,8 +107,11 @@
 
     /** A user was told that this job is cancelled; the record says so too, but may not be readable now. */
     void abortTold(String id) {
-        if (loaded && term.knows(id)) term.cancelled(id);
-        else told.put(id, clockS.getAsDouble());
+        if (loaded && term.knows(id)) {
+            term.cancelled(id);
+        } else {
+            told.put(id, clockS.getAsDouble());
+        }
     }
 
     /** Notices that wait for something to be applied to. */
@@ -116,9 +120,13 @@
     }
 
     private void later(Runnable r, int ms) {
-        timer.accept(() -> {
-            if (!term.ended()) r.run();
-        }, ms);
+        timer.accept(
+                () -> {
+                    if (!term.ended()) {
+                        r.run();
+                    }
+                },
+                ms);
     }
 
     // ---- loading ----------------------------------------------------------------------------------------------
@@ -126,7 +134,9 @@
     private void load(String after, boolean first) {
         double asked = clockS.getAsDouble();
         state.list(RecordCodec.LIVE, after, a -> {
-            if (term.ended()) return;
+            if (term.ended()) {
+                return;
+            }
             if (a.status() != 200) {
                 LOG.debug("loading: state service answered {}", a.status());
                 later(() -> load(after, first), 300);
@@ -137,8 +147,11 @@
                 viewS = asked; // what is read of the other pages is no older
             }
             String last = rows(a.body());
-            if (Fields.bool(a.body(), "hasNext") && last != null) load(last, false);
-            else loadParts(null);
+            if (Fields.bool(a.body(), "hasNext") && last != null) {
+                load(last, false);
+            } else {
+                loadParts(null);
+            }
         });
     }
 
@@ -147,7 +160,9 @@
         double now = clockS.getAsDouble();
         String last = null;
         for (Object o : Fields.list(body, "rows")) {
-            if (term.ended()) return null;
+            if (term.ended()) {
+                return null;
+            }
             Map<String, Object> r = Fields.map(o);
             last = Fields.str(r, "k");
             record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0), now);
@@ -158,7 +173,9 @@
     /** The parts of the jobs just read. Only a leader writes them, and since we lead no older one's write succeeds. */
     private void loadParts(String after) {
         state.list(RecordCodec.PARTS, after, a -> {
-            if (term.ended()) return;
+            if (term.ended()) {
+                return;
+            }
             if (a.status() != 200) {
                 later(() -> loadParts(after), 300);
                 return;
@@ -176,7 +193,9 @@
             }
             List<Job> all = List.copyOf(loading.values());
             loading = null;
-            for (Job j : all) adopt(j, now);
+            for (Job j : all) {
+                adopt(j, now);
+            }
             loadReservations();
         });
     }
@@ -186,13 +205,18 @@
         String id = key.substring(RecordCodec.PARTS.length(), slash);
         Job j = loading.get(id);
         if (j == null) {
-            if (!unreadable.contains(id)) term.orphan(key); // its job is over, and ids never come back
+            if (!unreadable.contains(id)) {
+                term.orphan(key); // its job is over, and ids never come back
+            }
             return;
         }
         try {
             int n = Integer.parseInt(key.substring(slash + 1));
-            if (!j.split()) j.leftover.set(n); // written ahead by a leader that ended before it mattered
-            else if (n < j.parts()) RecordCodec.part(j, n, v, now);
+            if (!j.split()) {
+                j.leftover.set(n); // written ahead by a leader that ended before it mattered
+            } else if (n < j.parts()) {
+                RecordCodec.part(j, n, v, now);
+            }
         } catch (RuntimeException e) {
             LOG.error("part {} cannot be read: {}", key, e.toString());
             // Where its tasks are is not known, so none of the job may be started.
@@ -204,12 +228,16 @@
     private void adopt(Job j, double now) {
         String id = j.spec.id();
         term.adopt(j, now);
-        if (told.remove(id) != null && term.knows(id)) term.cancelled(id);
+        if (told.remove(id) != null && term.knows(id)) {
+            term.cancelled(id);
+        }
     }
 
     private void loadReservations() {
         state.list(RecordCodec.RESERVED, null, a -> {
-            if (term.ended()) return;
+            if (term.ended()) {
+                return;
+            }
             if (a.status() != 200) {
                 later(this::loadReservations, 300);
                 return;
@@ -220,8 +248,8 @@
     }
 
     /** Hands on the stored reservations of a listing, by job, and the revisions of their keys. */
-    static void reservations(Map<String, Object> body,
-                             BiConsumer<Map<String, List<Reservation>>, Map<String, Long>> to) {
+    static void reservations(
+            Map<String, Object> body, BiConsumer<Map<String, List<Reservation>>, Map<String, Long>> to) {
         Map<String, List<Reservation>> byJob = new HashMap<>();
         Map<String, Long> stamps = new HashMap<>();
         for (Object o : Fields.list(body, "rows")) {
@@ -243,11 +271,17 @@
     /** What the last leader knew of machines' images; without it every change of leader costs fetches. */
     private void loadImages() {
         state.get(RecordCodec.IMAGES, Constants.STATE_TIMEOUT_MS, a -> {
-            if (term.ended()) return;
-            if (a.status() == 200) term.images(Fields.map(a.body().get("v")));
+            if (term.ended()) {
+                return;
+            }
+            if (a.status() == 200) {
+                term.images(Fields.map(a.body().get("v")));
+            }
             loaded = true;
             for (String id : List.copyOf(told.keySet())) {
-                if (!term.knows(id)) continue;
+                if (!term.knows(id)) {
+                    continue;
+                }
                 told.remove(id);
                 term.cancelled(id);
             }
@@ -261,16 +295,23 @@
     private void watch() {
         double asked = clockS.getAsDouble();
         state.watch(RecordCodec.LIVE, watchFrom, 2000, a -> {
-            if (term.ended()) return;
+            if (term.ended()) {
+                return;
+            }
             double now = clockS.getAsDouble();
             if (a.status() == 200) {
                 for (Object o : Fields.list(a.body(), "news")) {
-                    if (term.ended()) return;
+                    if (term.ended()) {
+                        return;
+                    }
                     Map<String, Object> e = Fields.map(o);
                     String put = Fields.str(e, "put");
                     if (put != null) {
-                        record(put.substring(RecordCodec.LIVE.length()), Fields.map(e.get("v")),
-                                Fields.num(e, "stamp", 0), now);
+                        record(
+                                put.substring(RecordCodec.LIVE.length()),
+                                Fields.map(e.get("v")),
+                                Fields.num(e, "stamp", 0),
+                                now);
                     }
                 }
                 watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
@@ -280,21 +321,30 @@
                 later(this::watch, Constants.WATCH_PAUSE_MS);
             } else if (a.status() == 410) {
                 reload(null, true);
-            } else later(this::watch, 500);
+            } else {
+                later(this::watch, 500);
+            }
         });
     }
 
     private void reload(String after, boolean first) {
         state.list(RecordCodec.LIVE, after, a -> {
-            if (term.ended()) return;
+            if (term.ended()) {
+                return;
+            }
             if (a.status() != 200) {
                 later(() -> reload(after, first), 500);
                 return;
             }
-            if (first) watchFrom = Fields.num(a.body(), "epoch", 0);
+            if (first) {
+                watchFrom = Fields.num(a.body(), "epoch", 0);
+            }
             String last = rows(a.body());
-            if (Fields.bool(a.body(), "hasNext") && last != null) reload(last, false);
-            else watch();
+            if (Fields.bool(a.body(), "hasNext") && last != null) {
+                reload(last, false);
+            } else {
+                watch();
+            }
         });
     }
 
@@ -313,8 +363,12 @@
             unreadable.add(id);
             return;
         }
-        if (loading != null) loading.put(id, n);
+        if (loading != null) {
+            loading.put(id, n);
+        }
         // Later, a job with parts that we do not know is one that is over for us: a late word of our own writes.
-        else if (!n.split() && !unreadable.contains(id)) adopt(n, now);
+        else if (!n.split() && !unreadable.contains(id)) {
+            adopt(n, now);
+        }
     }
 }
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -3,7 +3,6 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -62,13 +61,15 @@
             counter("mountlug.submissions", submissions);
             Gauge.builder("mountlug.jobs.live", jobs, AtomicInteger::get).register(registry);
             Gauge.builder("mountlug.machines", machines, AtomicInteger::get).register(registry);
-            Gauge.builder("mountlug.reservations", reservations, AtomicInteger::get).register(registry);
+            Gauge.builder("mountlug.reservations", reservations, AtomicInteger::get)
+                    .register(registry);
             Gauge.builder("mountlug.leading", leading, AtomicInteger::get).register(registry);
         }
         return registry.scrape();
     }
 
     private void counter(String name, AtomicLong from) {
-        io.micrometer.core.instrument.FunctionCounter.builder(name, from, AtomicLong::get).register(registry);
+        io.micrometer.core.instrument.FunctionCounter.builder(name, from, AtomicLong::get)
+                .register(registry);
     }
 }
--- a/src/main/java/org/mountlug/node/ReportCount.java
+++ b/src/main/java/org/mountlug/node/ReportCount.java
@@ -11,8 +11,12 @@
 
     private void turnTo(double nowS) {
         long s = (long) Math.floor(nowS);
-        if (second == Long.MIN_VALUE) second = s;
-        for (long k = Math.max(second + 1, s - counts.length + 1); k <= s; k++) counts[(int) (k % counts.length)] = 0;
+        if (second == Long.MIN_VALUE) {
+            second = s;
+        }
+        for (long k = Math.max(second + 1, s - counts.length + 1); k <= s; k++) {
+            counts[(int) (k % counts.length)] = 0;
+        }
         second = Math.max(second, s);
     }
 
@@ -25,7 +29,9 @@
     int lately(double nowS) {
         turnTo(nowS);
         int n = 0;
-        for (int c : counts) n += c;
+        for (int c : counts) {
+            n += c;
+        }
         return n;
     }
 }
--- a/src/main/java/org/mountlug/peer/PeerCodec.java
+++ b/src/main/java/org/mountlug/peer/PeerCodec.java
@@ -20,8 +20,8 @@
      * {@code token} the highest leader's token it knows, {@code aborts} every abort it has lately told a user of, unless
      * {@code overflow}, {@code reports} how many workers' reports have lately come to it.
      */
-    public record Answer(long serial, long boot, boolean served, long token, int reports, boolean overflow,
-                         List<String> aborts) {}
+    public record Answer(
+            long serial, long boot, boolean served, long token, int reports, boolean overflow, List<String> aborts) {}
 
     private PeerCodec() {}
 
@@ -33,14 +33,20 @@
 
     public static ByteBuffer answer(Answer a) {
         ByteBuffer b = ByteBuffer.allocate(FRAME_MAX);
-        b.putInt(0).putLong(a.serial()).putLong(a.boot()).put((byte) (a.served() ? 1 : 0)).putLong(a.token())
+        b.putInt(0)
+                .putLong(a.serial())
+                .putLong(a.boot())
+                .put((byte) (a.served() ? 1 : 0))
+                .putLong(a.token())
                 .putInt(a.reports());
         int counted = b.position();
         b.put((byte) 0).putShort((short) 0);
         int n = 0;
         for (String s : a.aborts()) {
             byte[] id = s.getBytes(StandardCharsets.US_ASCII);
-            if (id.length > ID_MAX || b.remaining() < id.length + 1) continue;
+            if (id.length > ID_MAX || b.remaining() < id.length + 1) {
+                continue;
+            }
             b.put((byte) id.length).put(id);
             n++;
         }
@@ -51,10 +57,16 @@
 
     /** The next whole frame's payload, or null if more bytes are needed; throws on a frame that cannot be ours. */
     public static ByteBuffer next(ByteBuffer in) {
-        if (in.remaining() < 4) return null;
+        if (in.remaining() < 4) {
+            return null;
+        }
         int n = in.getInt(in.position());
-        if (n < 8 || n > FRAME_MAX - 4) throw new IllegalArgumentException("frame of " + n + " bytes");
-        if (in.remaining() < 4 + n) return null;
+        if (n < 8 || n > FRAME_MAX - 4) {
+            throw new IllegalArgumentException("frame of " + n + " bytes");
+        }
+        if (in.remaining() < 4 + n) {
+            return null;
+        }
         ByteBuffer f = in.slice(in.position() + 4, n);
         in.position(in.position() + 4 + n);
         return f;
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -1,12 +1,11 @@
 package org.mountlug.peer;
 
-import org.mountlug.Constants;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.mountlug.Constants;
 
 /**
  * What the peers' answers prove, without any I/O. While the state service serves nobody, a leader must go on renewing
@@ -15,8 +14,8 @@
  * anew since, has proven nothing for the time between.
  */
 public final class PeerView {
-    private record Known(long boot, double sinceS, double untilS, boolean served, double heardS, long token,
-                         int reports) {}
+    private record Known(
+            long boot, double sinceS, double untilS, boolean served, double heardS, long token, int reports) {}
 
     private record Abort(String id, double atS) {}
 
@@ -35,15 +34,25 @@
 
     /** This node is about to tell a user that the job is cancelled. */
     public synchronized void aborted(String id, double nowS) {
-        while (!aborts.isEmpty() && nowS - aborts.peekFirst().atS() > keepS) aborts.pollFirst();
+        while (!aborts.isEmpty() && nowS - aborts.peekFirst().atS() > keepS) {
+            aborts.pollFirst();
+        }
         // Told again and again it needs no second place: whoever hears all of this list's span has heard the first.
-        for (Abort a : aborts) if (a.id().equals(id)) return;
+        for (Abort a : aborts) {
+            if (a.id().equals(id)) {
+                return;
+            }
+        }
         aborts.addLast(new Abort(id, nowS));
     }
 
     public synchronized List<String> aborts(double nowS) {
         List<String> l = new ArrayList<>();
-        for (Abort a : aborts) if (nowS - a.atS() <= keepS) l.add(a.id());
+        for (Abort a : aborts) {
+            if (nowS - a.atS() <= keepS) {
+                l.add(a.id());
+            }
+        }
         return l;
     }
 
@@ -51,8 +60,9 @@
         Known k = known.get(peer);
         // Aborts are listed for keepS only, so a longer gap, like a new process or an overflow, starts anew.
         boolean goesOn = k != null && k.boot() == a.boot() && !a.overflow() && nowS - k.untilS() < keepS / 2;
-        known.put(peer, new Known(a.boot(), goesOn ? k.sinceS() : askedS, askedS, a.served(), nowS, a.token(),
-                a.reports()));
+        known.put(
+                peer,
+                new Known(a.boot(), goesOn ? k.sinceS() : askedS, askedS, a.served(), nowS, a.token(), a.reports()));
     }
 
     /**
@@ -63,7 +73,9 @@
         double until = nowS;
         for (String p : peers) {
             Known k = known.get(p);
-            if (k == null || k.sinceS() > viewS) return viewS;
+            if (k == null || k.sinceS() > viewS) {
+                return viewS;
+            }
             until = Math.min(until, k.untilS());
         }
         return Math.max(viewS, until);
@@ -73,7 +85,9 @@
     public synchronized boolean allAnsweredSince(double sinceS) {
         for (String p : peers) {
             Known k = known.get(p);
-            if (k == null || k.untilS() < sinceS) return false;
+            if (k == null || k.untilS() < sinceS) {
+                return false;
+            }
         }
         return true;
     }
@@ -81,8 +95,11 @@
     /** A connection to the peer was refused: nobody listens there, or a filter stands between. */
     public synchronized void refused(String peer, double nowS) {
         Refusal r = refusals.get(peer);
-        if (r == null || nowS - r.lastS() > Constants.REFUSED_ANEW_S) refusals.put(peer, new Refusal(nowS, nowS, 1));
-        else refusals.put(peer, new Refusal(r.sinceS(), nowS, r.count() + 1));
+        if (r == null || nowS - r.lastS() > Constants.REFUSED_ANEW_S) {
+            refusals.put(peer, new Refusal(nowS, nowS, 1));
+        } else {
+            refusals.put(peer, new Refusal(r.sinceS(), nowS, r.count() + 1));
+        }
     }
 
     /**
@@ -91,34 +108,50 @@
      */
     public synchronized boolean ended(String peer, double nowS) {
         Refusal r = refusals.get(peer);
-        if (r == null || r.count() < Constants.REFUSALS_ENDED || nowS - r.lastS() > Constants.REFUSED_ANEW_S) return false;
+        if (r == null || r.count() < Constants.REFUSALS_ENDED || nowS - r.lastS() > Constants.REFUSED_ANEW_S) {
+            return false;
+        }
         Known it = known.get(peer);
-        if (it != null && it.heardS() >= r.sinceS()) return false;
+        if (it != null && it.heardS() >= r.sinceS()) {
+            return false;
+        }
         int answered = 0;
         for (String p : peers) {
             Known k = known.get(p);
-            if (!p.equals(peer) && k != null && k.heardS() >= r.sinceS()) answered++;
+            if (!p.equals(peer) && k != null && k.heardS() >= r.sinceS()) {
+                answered++;
+            }
         }
         return answered > 0 && answered * 2 > peers.size() - 1;
     }
 
     /** Whether some peer said lately that the state service serves it. */
     public synchronized boolean anyServed(double nowS) {
-        for (Known k : known.values()) if (k.served() && nowS - k.heardS() < Constants.PEER_FRESH_S) return true;
+        for (Known k : known.values()) {
+            if (k.served() && nowS - k.heardS() < Constants.PEER_FRESH_S) {
+                return true;
+            }
+        }
         return false;
     }
 
     /** How many workers' reports have lately come to the peers. */
     public synchronized int reportsElsewhere(double nowS) {
         int n = 0;
-        for (Known k : known.values()) if (nowS - k.heardS() < Constants.PEER_FRESH_S) n += k.reports();
+        for (Known k : known.values()) {
+            if (nowS - k.heardS() < Constants.PEER_FRESH_S) {
+                n += k.reports();
+            }
+        }
         return n;
     }
 
     /** The highest leader's token that a peer knows of. */
     public synchronized long highestToken() {
         long t = 0;
-        for (Known k : known.values()) t = Math.max(t, k.token());
+        for (Known k : known.values()) {
+            t = Math.max(t, k.token());
+        }
         return t;
     }
 }
--- a/src/main/java/org/mountlug/peer/Peers.java
+++ b/src/main/java/org/mountlug/peer/Peers.java
@@ -1,16 +1,5 @@
 package org.mountlug.peer;
 
-import org.mountlug.Constants;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-import org.xnio.IoFuture;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.StreamConnection;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
-
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -25,6 +14,16 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongFunction;
+import org.mountlug.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /**
  * Connections to the other controllers: one a peer, one question in flight, asked once a second. A peer that does not
@@ -48,8 +47,14 @@
     /** An answer and when its question was sent. */
     public record Heard(double askedS, PeerCodec.Answer answer) {}
 
-    public Peers(XnioWorker worker, XnioIoThread io, DoubleSupplier clockS, Map<String, String> others,
-                 LongFunction<PeerCodec.Answer> self, BiConsumer<String, Heard> heard, Consumer<String> refused) {
+    public Peers(
+            XnioWorker worker,
+            XnioIoThread io,
+            DoubleSupplier clockS,
+            Map<String, String> others,
+            LongFunction<PeerCodec.Answer> self,
+            BiConsumer<String, Heard> heard,
+            Consumer<String> refused) {
         this.worker = worker;
         this.io = io;
         this.clockS = clockS;
@@ -65,21 +70,28 @@
     }
 
     public void listen(String address) throws IOException {
-        server = worker.createStreamConnectionServer(socket(address), ch -> {
-            try {
-                StreamConnection c;
-                while ((c = ch.accept()) != null) serve(c);
-            } catch (IOException e) {
-                LOG.debug("accepting a peer: {}", e.toString());
-            }
-        }, OptionMap.EMPTY);
+        server = worker.createStreamConnectionServer(
+                socket(address),
+                ch -> {
+                    try {
+                        StreamConnection c;
+                        while ((c = ch.accept()) != null) {
+                            serve(c);
+                        }
+                    } catch (IOException e) {
+                        LOG.debug("accepting a peer: {}", e.toString());
+                    }
+                },
+                OptionMap.EMPTY);
         server.resumeAccepts();
     }
 
     public void close() {
         closed = true;
         IoUtils.safeClose(server);
-        for (Link l : links) l.close();
+        for (Link l : links) {
+            l.close();
+        }
         accepted.forEach(IoUtils::safeClose);
     }
 
@@ -103,10 +115,14 @@
                 while ((n = ch.read(in)) > 0) {
                     in.flip();
                     ByteBuffer f;
-                    while ((f = PeerCodec.next(in)) != null) frames.accept(f);
+                    while ((f = PeerCodec.next(in)) != null) {
+                        frames.accept(f);
+                    }
                     in.compact();
                 }
-                if (n < 0) IoUtils.safeClose(c);
+                if (n < 0) {
+                    IoUtils.safeClose(c);
+                }
             } catch (IOException | RuntimeException e) {
                 LOG.debug("peer connection: {}", e.toString());
                 IoUtils.safeClose(c);
@@ -133,7 +149,9 @@
 
     /** Asks every peer; to be called about once a second. */
     public void ask() {
-        for (Link l : links) l.ask();
+        for (Link l : links) {
+            l.ask();
+        }
     }
 
     private final class Link {
@@ -155,35 +173,51 @@
             StreamConnection c = connection;
             connection = null;
             IoUtils.safeClose(c);
-            if (opening != null) opening.cancel();
+            if (opening != null) {
+                opening.cancel();
+            }
             opening = null;
             waitingFor = 0;
         }
 
         void ask() {
             double now = clockS.getAsDouble();
-            if ((waitingFor != 0 || opening != null) && now - sinceS > Constants.PEER_TIMEOUT_MS / 1000.0) close();
-            if (waitingFor != 0 || opening != null) return;
+            if ((waitingFor != 0 || opening != null) && now - sinceS > Constants.PEER_TIMEOUT_MS / 1000.0) {
+                close();
+            }
+            if (waitingFor != 0 || opening != null) {
+                return;
+            }
             if (connection == null || !connection.isOpen()) {
                 sinceS = now;
-                IoFuture<StreamConnection> f = io.openStreamConnection(address, c -> {
-                    if (opening == null) {
-                        IoUtils.safeClose(c);
-                        return;
-                    }
-                    opening = null;
-                    connection = c;
-                    refusals = 0;
-                    c.setCloseListener(x -> lost(c));
-                    reading(c, this::frame);
-                    send();
-                }, OptionMap.EMPTY);
+                IoFuture<StreamConnection> f = io.openStreamConnection(
+                        address,
+                        c -> {
+                            if (opening == null) {
+                                IoUtils.safeClose(c);
+                                return;
+                            }
+                            opening = null;
+                            connection = c;
+                            refusals = 0;
+                            c.setCloseListener(x -> lost(c));
+                            reading(c, this::frame);
+                            send();
+                        },
+                        OptionMap.EMPTY);
                 opening = f;
-                f.addNotifier((x, o) -> {
-                    if (x.getStatus() == IoFuture.Status.DONE || opening != x) return;
-                    opening = null;
-                    if (x.getStatus() == IoFuture.Status.FAILED && x.getException() instanceof ConnectException) refused();
-                }, null);
+                f.addNotifier(
+                        (x, o) -> {
+                            if (x.getStatus() == IoFuture.Status.DONE || opening != x) {
+                                return;
+                            }
+                            opening = null;
+                            if (x.getStatus() == IoFuture.Status.FAILED
+                                    && x.getException() instanceof ConnectException) {
+                                refused();
+                            }
+                        },
+                        null);
                 return;
             }
             send();
@@ -191,32 +225,48 @@
 
         /** It closed the connection, perhaps because it has ended; a refusal would say so at once. */
         void lost(StreamConnection c) {
-            if (connection != c) return;
+            if (connection != c) {
+                return;
+            }
             connection = null;
             waitingFor = 0;
-            if (!closed) io.execute(this::ask);
+            if (!closed) {
+                io.execute(this::ask);
+            }
         }
 
         void refused() {
             refused.accept(label);
-            if (closed || ++refusals > Constants.REFUSALS_ENDED) return;
+            if (closed || ++refusals > Constants.REFUSALS_ENDED) {
+                return;
+            }
             // What the others say now tells an ended process from a filter.
-            for (Link l : links) if (l != this) l.ask();
+            for (Link l : links) {
+                if (l != this) {
+                    l.ask();
+                }
+            }
             io.executeAfter(this::ask, Constants.REFUSED_RETRY_MS, TimeUnit.MILLISECONDS);
         }
 
         void send() {
             sinceS = clockS.getAsDouble();
             waitingFor = ++serial;
-            if (!write(connection, PeerCodec.question(serial))) close();
+            if (!write(connection, PeerCodec.question(serial))) {
+                close();
+            }
         }
 
         void frame(ByteBuffer f) {
             PeerCodec.Answer a = PeerCodec.answer(f);
-            if (a.serial() != waitingFor) return;
+            if (a.serial() != waitingFor) {
+                return;
+            }
             waitingFor = 0;
             // What waited in the socket while we stood still tells nothing of now.
-            if (clockS.getAsDouble() - sinceS > Constants.PEER_TIMEOUT_MS / 1000.0) return;
+            if (clockS.getAsDouble() - sinceS > Constants.PEER_TIMEOUT_MS / 1000.0) {
+                return;
+            }
             heard.accept(label, new Heard(sinceS, a));
         }
     }
--- a/src/main/java/org/mountlug/settings/Operators.java
+++ b/src/main/java/org/mountlug/settings/Operators.java
@@ -1,16 +1,15 @@
 package org.mountlug.settings;
 
-import org.mountlug.wire.Fields;
-import org.snakeyaml.engine.v2.api.Load;
-import org.snakeyaml.engine.v2.api.LoadSettings;
-import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.mountlug.wire.Fields;
+import org.snakeyaml.engine.v2.api.Load;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
 
 /**
  * The operators' own settings, in YAML beside the platform's file. Unlike there, an unknown field is an error: it is
@@ -30,16 +29,23 @@
     public static Operators load(Path file) throws Settings.Invalid {
         Object o;
         try {
-            o = new Load(LoadSettings.builder().setLabel(file.toString()).build()).loadFromString(Files.readString(file));
+            o = new Load(LoadSettings.builder().setLabel(file.toString()).build())
+                    .loadFromString(Files.readString(file));
         } catch (IOException | YamlEngineException e) {
             throw new Settings.Invalid(file.toString(), "cannot be read as YAML");
         }
-        if (o != null && !(o instanceof Map)) throw new Settings.Invalid(file.toString(), "not a map");
+        if (o != null && !(o instanceof Map)) {
+            throw new Settings.Invalid(file.toString(), "not a map");
+        }
         return of(Fields.map(o));
     }
 
     public static Operators of(Map<String, Object> m) throws Settings.Invalid {
-        for (Object k : m.keySet()) if (!KNOWN.contains(k)) throw new Settings.Invalid(String.valueOf(k), "unknown field");
+        for (Object k : m.keySet()) {
+            if (!KNOWN.contains(k)) {
+                throw new Settings.Invalid(String.valueOf(k), "unknown field");
+            }
+        }
         Map<String, Double> shares = new LinkedHashMap<>();
         for (Map.Entry<String, Object> e : Fields.map(m.get("shares")).entrySet()) {
             if (!(e.getValue() instanceof Number n) || !(n.doubleValue() > 0) || !Double.isFinite(n.doubleValue())) {
@@ -54,15 +60,22 @@
         }
         Map<String, Object> machines = Fields.map(m.get("machines"));
         Operators d = defaults();
-        return new Operators(shares, format.equals("timed"), within(machines, "idle_keep_s", 0, 3600, d.idleKeepS),
+        return new Operators(
+                shares,
+                format.equals("timed"),
+                within(machines, "idle_keep_s", 0, 3600, d.idleKeepS),
                 within(machines, "spot_risk", 1, 100, d.spotRisk));
     }
 
     private static double within(Map<String, Object> m, String k, double least, double most, double def)
             throws Settings.Invalid {
         Object o = m.get(k);
-        if (o == null) return def;
-        if (o instanceof Number n && n.doubleValue() >= least && n.doubleValue() <= most) return n.doubleValue();
+        if (o == null) {
+            return def;
+        }
+        if (o instanceof Number n && n.doubleValue() >= least && n.doubleValue() <= most) {
+            return n.doubleValue();
+        }
         throw new Settings.Invalid("machines." + k, "must be a number from " + least + " to " + most);
     }
 }
--- a/src/main/java/org/mountlug/settings/Settings.java
+++ b/src/main/java/org/mountlug/settings/Settings.java
@@ -2,27 +2,46 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
-import org.mountlug.core.model.Team;
-import org.mountlug.wire.Cbor;
-import org.mountlug.wire.Fields;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.mountlug.core.model.Team;
+import org.mountlug.wire.Cbor;
+import org.mountlug.wire.Fields;
 
 /**
  * The platform's settings, checked field by field; fields it does not know are ignored. The state service's limits are
  * those of {@code state} and {@code state.next}, whichever is smaller, as the latter come into force without notice;
  * only a value may be as large as {@code valueKb} while records have to be read by versions that know no smaller ones.
  */
-public record Settings(String label, String zone, String listen, String clusterListen, List<Peer> others,
-                       String cloud, String state, double skewMs, List<Team> teams, List<Objective> objectives,
-                       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS,
-                       double stateRps, double stateWriteRps, double valueKb, double leastValueKb, int txnOps, double cloudRps,
-                       double listLagS, int fdLimit, double memMb) {
+public record Settings(
+        String label,
+        String zone,
+        String listen,
+        String clusterListen,
+        List<Peer> others,
+        String cloud,
+        String state,
+        double skewMs,
+        List<Team> teams,
+        List<Objective> objectives,
+        double reportS,
+        double leaseS,
+        double gangWaitS,
+        double gangPeerS,
+        double cancelS,
+        double stateRps,
+        double stateWriteRps,
+        double valueKb,
+        double leastValueKb,
+        int txnOps,
+        double cloudRps,
+        double listLagS,
+        int fdLimit,
+        double memMb) {
 
     public record Peer(String label, String endpoint) {}
 
@@ -62,8 +81,13 @@
         for (Object o : cluster.list("teams", true)) {
             Reader r = new Reader("cluster.teams[" + i++ + "].", Fields.map(o));
             String name = r.text("name");
-            teams.add(new Team(name, r.number("cpus", 0, 0), r.number("cpus_max", 0, 0), r.number("gpus", 0, 0),
-                    r.number("gpus_max", 0, 0), operators.share(name)));
+            teams.add(new Team(
+                    name,
+                    r.number("cpus", 0, 0),
+                    r.number("cpus_max", 0, 0),
+                    r.number("gpus", 0, 0),
+                    r.number("gpus_max", 0, 0),
+                    operators.share(name)));
         }
         for (String name : operators.shares().keySet()) {
             if (teams.stream().noneMatch(t -> t.name().equals(name))) {
@@ -73,8 +97,11 @@
         List<Objective> objectives = new ArrayList<>();
         for (Object o : cluster.list("objectives", false)) {
             Map<String, Object> x = Fields.map(o);
-            objectives.add(new Objective(Fields.str(x, "kind", ""), Fields.str(x, "class", ""),
-                    Fields.dec(x, "within_s", Double.NaN), Fields.dec(x, "share", Double.NaN)));
+            objectives.add(new Objective(
+                    Fields.str(x, "kind", ""),
+                    Fields.str(x, "class", ""),
+                    Fields.dec(x, "within_s", Double.NaN),
+                    Fields.dec(x, "share", Double.NaN)));
         }
         Reader w = cluster.table("workers");
         Reader s = cluster.table("state");
@@ -82,14 +109,31 @@
         double valueKb = s.positive("value_kb");
         Reader c = cluster.table("cloud");
         Reader limits = new Reader("cluster.machine_limits.", Fields.map(cluster.m.get("machine_limits")));
-        return new Settings(root.text("label"), root.text("zone"), root.address("listen"),
-                root.address("cluster_listen"), others, ends.address("cloud"), ends.address("state"),
-                cluster.number("skew_ms", 0, 0), teams, objectives,
-                w.positive("report_s"), w.positive("lease_s"), w.positive("gang_wait_s"), w.positive("gang_peer_s"),
-                w.positive("cancel_s"), next.least("rps", s.positive("rps")),
-                next.least("write_rps", s.positive("write_rps")), valueKb, next.least("value_kb", valueKb),
-                (int) Math.min(s.number("txn_ops", 1, Double.NaN), next.number("txn_ops", 1, Double.MAX_VALUE)), c.positive("rps"), c.number("list_lag_s", 0, Double.NaN),
-                (int) limits.number("fd_limit", 16, 1024), limits.number("mem_mb", 0, 0));
+        return new Settings(
+                root.text("label"),
+                root.text("zone"),
+                root.address("listen"),
+                root.address("cluster_listen"),
+                others,
+                ends.address("cloud"),
+                ends.address("state"),
+                cluster.number("skew_ms", 0, 0),
+                teams,
+                objectives,
+                w.positive("report_s"),
+                w.positive("lease_s"),
+                w.positive("gang_wait_s"),
+                w.positive("gang_peer_s"),
+                w.positive("cancel_s"),
+                next.least("rps", s.positive("rps")),
+                next.least("write_rps", s.positive("write_rps")),
+                valueKb,
+                next.least("value_kb", valueKb),
+                (int) Math.min(s.number("txn_ops", 1, Double.NaN), next.number("txn_ops", 1, Double.MAX_VALUE)),
+                c.positive("rps"),
+                c.number("list_lag_s", 0, Double.NaN),
+                (int) limits.number("fd_limit", 16, 1024),
+                limits.number("mem_mb", 0, 0));
     }
 
     private static String firstLine(Exception e) {
@@ -100,19 +144,27 @@
 
     private record Reader(String path, Map<String, Object> m) {
         Reader table(String k) throws Invalid {
-            if (!(m.get(k) instanceof Map)) throw new Invalid(path + k, "missing table");
+            if (!(m.get(k) instanceof Map)) {
+                throw new Invalid(path + k, "missing table");
+            }
             return new Reader(path + k + ".", Fields.map(m.get(k)));
         }
 
         List<Object> list(String k, boolean required) throws Invalid {
             Object o = m.get(k);
-            if (o == null && !required) return List.of();
-            if (!(o instanceof List)) throw new Invalid(path + k, o == null ? "missing" : "not a list");
+            if (o == null && !required) {
+                return List.of();
+            }
+            if (!(o instanceof List)) {
+                throw new Invalid(path + k, o == null ? "missing" : "not a list");
+            }
             return Fields.list(m, k);
         }
 
         String text(String k) throws Invalid {
-            if (!(m.get(k) instanceof String s) || s.isBlank()) throw new Invalid(path + k, "missing or not a text");
+            if (!(m.get(k) instanceof String s) || s.isBlank()) {
+                throw new Invalid(path + k, "missing or not a text");
+            }
             return s;
         }
 
@@ -121,7 +173,9 @@
             int colon = s.lastIndexOf(':');
             try {
                 int port = Integer.parseInt(s.substring(colon + 1));
-                if (colon > 0 && port > 0 && port < 65536) return s;
+                if (colon > 0 && port > 0 && port < 65536) {
+                    return s;
+                }
             } catch (NumberFormatException e) {
                 // reported below
             }
@@ -130,7 +184,9 @@
 
         double positive(String k) throws Invalid {
             double d = number(k, 0, Double.NaN);
-            if (d <= 0) throw new Invalid(path + k, "must be above 0");
+            if (d <= 0) {
+                throw new Invalid(path + k, "must be above 0");
+            }
             return d;
         }
 
@@ -142,10 +198,16 @@
         /** A number of at least {@code least}; {@code def} NaN makes it required. */
         double number(String k, double least, double def) throws Invalid {
             Object o = m.get(k);
-            if (o == null && !Double.isNaN(def)) return def;
-            if (!(o instanceof Number n)) throw new Invalid(path + k, o == null ? "missing" : "not a number");
+            if (o == null && !Double.isNaN(def)) {
+                return def;
+            }
+            if (!(o instanceof Number n)) {
+                throw new Invalid(path + k, o == null ? "missing" : "not a number");
+            }
             double d = n.doubleValue();
-            if (!Double.isFinite(d) || d < least) throw new Invalid(path + k, "must be at least " + least);
+            if (!Double.isFinite(d) || d < least) {
+                throw new Invalid(path + k, "must be at least " + least);
+            }
             return d;
         }
     }
--- a/src/main/java/org/mountlug/settings/Sizes.java
+++ b/src/main/java/org/mountlug/settings/Sizes.java
@@ -1,9 +1,8 @@
 package org.mountlug.settings;
 
-import org.mountlug.Constants;
-
 import java.util.ArrayList;
 import java.util.List;
+import org.mountlug.Constants;
 
 /**
  * Whether a machine is large enough for a controller. What cannot be met is said at the start, by the setting's name,
@@ -14,8 +13,12 @@
 
     /** Sockets that a controller opens or accepts for itself, without any worker. */
     public static int ownSockets(Settings s) {
-        return Constants.STATE_CONNECTIONS + Constants.WATCH_CONNECTIONS + Constants.CLOUD_CONNECTIONS
-                + Constants.COMMANDS_MOST + s.others().size() * (1 + Constants.PEER_ACCEPTED) + Constants.USER_CONNECTIONS;
+        return Constants.STATE_CONNECTIONS
+                + Constants.WATCH_CONNECTIONS
+                + Constants.CLOUD_CONNECTIONS
+                + Constants.COMMANDS_MOST
+                + s.others().size() * (1 + Constants.PEER_ACCEPTED)
+                + Constants.USER_CONNECTIONS;
     }
 
     /** Workers that a leader has sockets for beside its own; each keeps one open. */
@@ -30,12 +33,16 @@
      */
     public static List<String> check(Settings s, double heapMb) throws Settings.Invalid {
         if (workers(s) < 1) {
-            throw new Settings.Invalid("cluster.machine_limits.fd_limit", s.fdLimit() + " leaves no socket for workers; "
-                    + (ownSockets(s) + Constants.OTHER_FILES) + " go to the controller itself");
+            throw new Settings.Invalid(
+                    "cluster.machine_limits.fd_limit",
+                    s.fdLimit() + " leaves no socket for workers; " + (ownSockets(s) + Constants.OTHER_FILES)
+                            + " go to the controller itself");
         }
         if (s.memMb() > 0 && s.memMb() < Constants.LEAST_MB) {
-            throw new Settings.Invalid("cluster.machine_limits.mem_mb", s.memMb() + " does not hold a controller, which takes "
-                    + Constants.LEAST_MB + " MB before its first job");
+            throw new Settings.Invalid(
+                    "cluster.machine_limits.mem_mb",
+                    s.memMb() + " does not hold a controller, which takes " + Constants.LEAST_MB
+                            + " MB before its first job");
         }
         List<String> l = new ArrayList<>();
         l.add("sockets for " + workers(s) + " workers");
--- a/src/main/java/org/mountlug/store/Budget.java
+++ b/src/main/java/org/mountlug/store/Budget.java
@@ -15,13 +15,17 @@
 
     /** What may be taken now. */
     public synchronized double level(double nowS) {
-        if (!Double.isNaN(atS)) level = Math.min(most, level + Math.max(0, nowS - atS) * perS);
+        if (!Double.isNaN(atS)) {
+            level = Math.min(most, level + Math.max(0, nowS - atS) * perS);
+        }
         atS = nowS;
         return level;
     }
 
     public synchronized boolean take(double nowS, double n) {
-        if (level(nowS) + 1e-9 < n) return false;
+        if (level(nowS) + 1e-9 < n) {
+            return false;
+        }
         level -= n;
         return true;
     }
--- a/src/main/java/org/mountlug/store/Change.java
+++ b/src/main/java/org/mountlug/store/Change.java
@@ -14,7 +14,9 @@
     private final List<Object> writes = new ArrayList<>();
 
     public Change guard(String key, long stamp) {
-        if (!guarded.add(key)) return this;
+        if (!guarded.add(key)) {
+            return this;
+        }
         Map<String, Object> g = new LinkedHashMap<>();
         g.put("k", key);
         g.put("stamp", stamp);
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -1,6 +1,12 @@
 package org.mountlug.store;
 
 import com.google.common.base.Strings;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
@@ -12,13 +18,6 @@
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.Json;
 
-import java.util.ArrayList;
-import java.util.Base64;
-import java.util.BitSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-
 /**
  * Records in the state service. A job's progress is written as runs of finished tasks, or a bit for each, and as runs of
  * placed ones by machine. A job whose tasks might not fit into one record keeps the first in its own and the others in
@@ -48,6 +47,7 @@
     private static final int PART_FIXED_CHARS = 220;
     /** Characters of failures in a record, a help for retries only; the first is what a version before parts took. */
     private static final int FAILURES_CHARS = 600;
+
     private static final int FAILURES_PART_CHARS = 90;
     /** Characters of a task at the worst, beside its number and machine: attempt, session, zone and signs. */
     private static final int TASK_CHARS = 17;
@@ -70,17 +70,29 @@
         m.put("c", s.need().cpus());
         m.put("q", s.need().gpus());
         m.put("r", s.need().ramGb());
-        if (s.types() != null) m.put("b", s.types());
-        if (s.zone() != null) m.put("z", s.zone());
-        if (s.oneZone()) m.put("o", true);
-        if (s.apart()) m.put("a", true);
-        if (s.spot()) m.put("p", true);
+        if (s.types() != null) {
+            m.put("b", s.types());
+        }
+        if (s.zone() != null) {
+            m.put("z", s.zone());
+        }
+        if (s.oneZone()) {
+            m.put("o", true);
+        }
+        if (s.apart()) {
+            m.put("a", true);
+        }
+        if (s.spot()) {
+            m.put("p", true);
+        }
         m.put("i", s.image());
         m.put("ig", s.imageGb());
         m.put("e", s.service() ? SERVICE_EXPECTED : s.expectedS());
         m.put("k", s.checkpointS());
         m.put("s", s.saveS());
-        if (!Double.isNaN(s.deadlineS())) m.put("d", s.deadlineS());
+        if (!Double.isNaN(s.deadlineS())) {
+            m.put("d", s.deadlineS());
+        }
         m.put("at", s.submittedMs());
         return m;
     }
@@ -88,12 +100,26 @@
     private static JobSpec spec(String id, Map<String, Object> m) {
         double expected = Fields.dec(m, "e", 1);
         Shape shape = Fields.bool(m, "g") ? Shape.GANG : expected < 0 ? Shape.SERVICE : Shape.ARRAY;
-        return new JobSpec(id, Fields.str(m, "l", ""), Fields.str(m, "t", ""), shape,
-                Urgency.values()[(int) Fields.num(m, "u", 1)], (int) Fields.num(m, "n", 1),
+        return new JobSpec(
+                id,
+                Fields.str(m, "l", ""),
+                Fields.str(m, "t", ""),
+                shape,
+                Urgency.values()[(int) Fields.num(m, "u", 1)],
+                (int) Fields.num(m, "n", 1),
                 new Resources(Fields.dec(m, "c", 0), Fields.dec(m, "q", 0), Fields.dec(m, "r", 0)),
-                Fields.strings(m, "b"), Fields.str(m, "z"), Fields.bool(m, "o"), Fields.bool(m, "a"),
-                Fields.bool(m, "p"), Fields.str(m, "i", ""), Fields.dec(m, "ig", 0), Math.max(0, expected),
-                Fields.dec(m, "k", 0), Fields.dec(m, "s", 0), Fields.dec(m, "d", Double.NaN), Fields.num(m, "at", 0));
+                Fields.strings(m, "b"),
+                Fields.str(m, "z"),
+                Fields.bool(m, "o"),
+                Fields.bool(m, "a"),
+                Fields.bool(m, "p"),
+                Fields.str(m, "i", ""),
+                Fields.dec(m, "ig", 0),
+                Math.max(0, expected),
+                Fields.dec(m, "k", 0),
+                Fields.dec(m, "s", 0),
+                Fields.dec(m, "d", Double.NaN),
+                Fields.num(m, "at", 0));
     }
 
     // ---- job --------------------------------------------------------------------------------------------------
@@ -130,23 +156,33 @@
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("s", spec(j.written));
         m.put("w", writeId);
-        if (j.cancelled) m.put("x", true);
+        if (j.cancelled) {
+            m.put("x", true);
+        }
         m.put("a", j.attempts);
         if (j.split()) {
             m.put("K", List.of((long) j.ownTasks(), (long) j.partTasks()));
             m.put("cd", (long) j.done.cardinality());
         }
-        if (j.split() || j.spec.service()) m.put("cr", (long) running(j));
+        if (j.split() || j.spec.service()) {
+            m.put("cr", (long) running(j));
+        }
         progress(j, 0, j.ownTasks(), j.split() ? FAILURES_PART_CHARS : FAILURES_CHARS, m);
         return m;
     }
 
     /** The tasks that are told as running: of a service only those that run, as its user waits for each of them. */
     private static int running(Job j) {
-        if (!j.spec.service()) return j.placed.size();
+        if (!j.spec.service()) {
+            return j.placed.size();
+        }
         int n = 0;
         // What an earlier leader placed ran, most likely, and will soon be seen to.
-        for (Placement p : j.placed.values()) if (!Double.isNaN(p.runningS) || p.version == 0 && !p.seen) n++;
+        for (Placement p : j.placed.values()) {
+            if (!Double.isNaN(p.runningS) || p.version == 0 && !p.seen) {
+                n++;
+            }
+        }
         return n;
     }
 
@@ -166,19 +202,32 @@
         if (!done.isEmpty()) {
             String ranges = ranges(done, from);
             // Ranges are short while tasks end in order; where they do not, a bit a task is shorter.
-            if (ranges.length() <= (to - from) / 6 + 4) m.put("d", ranges);
-            else m.put("D", Base64.getEncoder().withoutPadding().encodeToString(done.toByteArray()));
+            if (ranges.length() <= (to - from) / 6 + 4) {
+                m.put("d", ranges);
+            } else {
+                m.put("D", Base64.getEncoder().withoutPadding().encodeToString(done.toByteArray()));
+            }
         }
         List<Placement> placed = new ArrayList<>(j.placed.subMap(from, to).values());
-        if (!placed.isEmpty()) placed(placed, m);
+        if (!placed.isEmpty()) {
+            placed(placed, m);
+        }
         StringBuilder e = new StringBuilder();
         for (var f : j.failures.int2IntEntrySet()) {
-            if (f.getIntKey() < from || f.getIntKey() >= to) continue;
-            if (e.length() > failuresChars) break; // a help for retries only, never worth the record's limit
-            if (e.length() > 0) e.append(',');
+            if (f.getIntKey() < from || f.getIntKey() >= to) {
+                continue;
+            }
+            if (e.length() > failuresChars) {
+                break; // a help for retries only, never worth the record's limit
+            }
+            if (e.length() > 0) {
+                e.append(',');
+            }
             e.append(f.getIntKey()).append('.').append(f.getIntValue());
         }
-        if (e.length() > 0) m.put("e", e.toString());
+        if (e.length() > 0) {
+            m.put("e", e.toString());
+        }
     }
 
     /**
@@ -190,26 +239,41 @@
         List<String> zones = new ArrayList<>();
         String prefix = null;
         for (Placement p : placed) {
-            by.computeIfAbsent(p.machine + " " + p.session, k -> new ArrayList<>()).add(p);
-            if (!zones.contains(p.zone)) zones.add(p.zone);
+            by.computeIfAbsent(p.machine + " " + p.session, k -> new ArrayList<>())
+                    .add(p);
+            if (!zones.contains(p.zone)) {
+                zones.add(p.zone);
+            }
             prefix = prefix == null ? p.machine : Strings.commonPrefix(prefix, p.machine);
         }
         StringBuilder b = new StringBuilder();
         for (List<Placement> l : by.values()) {
             Placement first = l.get(0);
-            if (b.length() > 0) b.append(' ');
+            if (b.length() > 0) {
+                b.append(' ');
+            }
             b.append(first.machine, prefix.length(), first.machine.length());
             int zone = zones.indexOf(first.zone);
-            if (zone != 0 || first.session != 1) b.append('!').append(zone);
-            if (first.session != 1) b.append('!').append(first.session);
+            if (zone != 0 || first.session != 1) {
+                b.append('!').append(zone);
+            }
+            if (first.session != 1) {
+                b.append('!').append(first.session);
+            }
             b.append('=');
             for (int i = 0; i < l.size(); ) {
                 Placement p = l.get(i);
                 int k = i + 1;
-                while (k < l.size() && l.get(k).task == p.task + k - i && l.get(k).attempt == p.attempt) k++;
-                if (i > 0) b.append(',');
+                while (k < l.size() && l.get(k).task == p.task + k - i && l.get(k).attempt == p.attempt) {
+                    k++;
+                }
+                if (i > 0) {
+                    b.append(',');
+                }
                 b.append(p.task);
-                if (k > i + 1) b.append('-').append(p.task + k - i - 1);
+                if (k > i + 1) {
+                    b.append('-').append(p.task + k - i - 1);
+                }
                 b.append(':').append(p.attempt);
                 i = k;
             }
@@ -225,7 +289,9 @@
 
     private static void runs(Map<String, Object> m, Run each) {
         String p = Fields.str(m, "p", "");
-        if (p.isEmpty()) return;
+        if (p.isEmpty()) {
+            return;
+        }
         String prefix = Fields.str(m, "mp", "");
         List<Object> zones = Fields.list(m, "z");
         for (String entry : p.split(" ")) {
@@ -248,14 +314,21 @@
         BitSet done = new BitSet();
         if (bits != null) {
             BitSet b = BitSet.valueOf(Base64.getDecoder().decode(bits));
-            for (int i = b.nextSetBit(0); i >= 0; i = b.nextSetBit(i + 1)) done.set(first + i);
+            for (int i = b.nextSetBit(0); i >= 0; i = b.nextSetBit(i + 1)) {
+                done.set(first + i);
+            }
             return done;
         }
         String d = Fields.str(m, "d", "");
-        if (!d.isEmpty()) for (String r : d.split(",")) {
-            int dash = r.indexOf('-');
-            if (dash < 0) done.set(Integer.parseInt(r));
-            else done.set(Integer.parseInt(r.substring(0, dash)), Integer.parseInt(r.substring(dash + 1)) + 1);
+        if (!d.isEmpty()) {
+            for (String r : d.split(",")) {
+                int dash = r.indexOf('-');
+                if (dash < 0) {
+                    done.set(Integer.parseInt(r));
+                } else {
+                    done.set(Integer.parseInt(r.substring(0, dash)), Integer.parseInt(r.substring(dash + 1)) + 1);
+                }
+            }
         }
         return done;
     }
@@ -275,9 +348,13 @@
         StringBuilder b = new StringBuilder();
         for (int i = done.nextSetBit(0); i >= 0; ) {
             int end = done.nextClearBit(i) - 1;
-            if (b.length() > 0) b.append(',');
+            if (b.length() > 0) {
+                b.append(',');
+            }
             b.append(first + i);
-            if (end > i) b.append('-').append(first + end);
+            if (end > i) {
+                b.append('-').append(first + end);
+            }
             i = done.nextSetBit(end + 1);
         }
         return b.toString();
@@ -291,7 +368,9 @@
         j.attempts = Fields.num(m, "a", 0);
         j.seenS = nowS;
         List<Object> k = Fields.list(m, "K");
-        if (k.size() == 2) j.layout(((Number) k.get(0)).intValue(), ((Number) k.get(1)).intValue());
+        if (k.size() == 2) {
+            j.layout(((Number) k.get(0)).intValue(), ((Number) k.get(1)).intValue());
+        }
         progress(j, m, 0, nowS);
         j.begun = j.attempts > 0;
         return j;
@@ -309,16 +388,20 @@
 
     private static void progress(Job j, Map<String, Object> m, int first, double nowS) {
         // A version before services noted replicas that ended as done; for us they never are.
-        if (!j.spec.service()) j.done.or(done(m, first));
+        if (!j.spec.service()) {
+            j.done.or(done(m, first));
+        }
         runs(m, (machine, zone, session, from, to, attempt) -> {
             for (int t = from; t <= to; t++) {
                 j.placed.put(t, new Placement(j, t, attempt, machine, zone, session, 0, nowS));
             }
         });
         String e = Fields.str(m, "e", "");
-        if (!e.isEmpty()) for (String r : e.split(",")) {
-            int dot = r.indexOf('.');
-            j.failures.put(Integer.parseInt(r.substring(0, dot)), Integer.parseInt(r.substring(dot + 1)));
+        if (!e.isEmpty()) {
+            for (String r : e.split(",")) {
+                int dot = r.indexOf('.');
+                j.failures.put(Integer.parseInt(r.substring(0, dot)), Integer.parseInt(r.substring(dot + 1)));
+            }
         }
     }
 
@@ -338,12 +421,20 @@
         Map<String, Object> m = new LinkedHashMap<>();
         int size = 0;
         for (Machine x : machines) {
-            if (x.images.isEmpty()) continue;
+            if (x.images.isEmpty()) {
+                continue;
+            }
             List<String> l = new ArrayList<>(x.images);
-            if (l.size() > IMAGES_MOST) l = l.subList(l.size() - IMAGES_MOST, l.size());
-            for (String s : l) size += s.length() + 3;
+            if (l.size() > IMAGES_MOST) {
+                l = l.subList(l.size() - IMAGES_MOST, l.size());
+            }
+            for (String s : l) {
+                size += s.length() + 3;
+            }
             size += x.name.length() + 6;
-            if (size > mostChars) break;
+            if (size > mostChars) {
+                break;
+            }
             m.put(x.name, l);
         }
         return m;
@@ -357,7 +448,9 @@
         for (Reservation r : l) {
             String s = r.task() + "@" + r.machine();
             size += s.length() + 3;
-            if (size > mostChars) break; // what is not nominated is scanned for
+            if (size > mostChars) {
+                break; // what is not nominated is scanned for
+            }
             out.add(s);
         }
         return Map.of("t", out);
--- a/src/main/java/org/mountlug/store/StateClient.java
+++ b/src/main/java/org/mountlug/store/StateClient.java
@@ -1,13 +1,12 @@
 package org.mountlug.store;
 
 import io.undertow.util.Methods;
+import java.util.Map;
+import java.util.function.Consumer;
 import org.mountlug.Constants;
 import org.mountlug.wire.Calls;
 import org.mountlug.wire.Http;
 
-import java.util.Map;
-import java.util.function.Consumer;
-
 /**
  * The state service's calls. It knows when this node was last served, and keeps to this node's part of the budgets:
  * reads for users wait behind submissions, and watches have connections of their own.
@@ -20,6 +19,7 @@
     private final Budget submits;
     /** Steady seconds of the last answer that shows we are served, and of the last refusal. */
     private volatile double servedS = Double.NEGATIVE_INFINITY;
+
     private volatile double refusedS = Double.NEGATIVE_INFINITY;
 
     /** @param nodes how many nodes draw on the same budget */
@@ -53,8 +53,11 @@
     private Consumer<Http.Answer> noting(Consumer<Http.Answer> then) {
         double asked = clockS.getAsDouble();
         return a -> {
-            if (a.status() == 503 || a.none()) refusedS = Math.max(refusedS, asked);
-            else if (a.status() != 429) servedS = Math.max(servedS, asked);
+            if (a.status() == 503 || a.none()) {
+                refusedS = Math.max(refusedS, asked);
+            } else if (a.status() != 429) {
+                servedS = Math.max(servedS, asked);
+            }
             then.accept(a);
         };
     }
@@ -64,8 +67,12 @@
     }
 
     public void list(String prefix, String after, Consumer<Http.Answer> then) {
-        calls.call(Methods.GET, "/kv?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&page=1000", null,
-                4 * Constants.STATE_TIMEOUT_MS, noting(then));
+        calls.call(
+                Methods.GET,
+                "/kv?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&page=1000",
+                null,
+                4 * Constants.STATE_TIMEOUT_MS,
+                noting(then));
     }
 
     public void commit(Change c, Consumer<Http.Answer> then) {
@@ -86,7 +93,11 @@
 
     /** Opens a watch; an answer proves nothing of being served, as open watches survive outages. */
     public void watch(String prefix, long after, int blockMs, Consumer<Http.Answer> then) {
-        watches.call(Methods.GET, "/watch?prefix=" + prefix + "&after=" + after + "&blockMs=" + blockMs, null,
-                blockMs + 3000, then);
+        watches.call(
+                Methods.GET,
+                "/watch?prefix=" + prefix + "&after=" + after + "&blockMs=" + blockMs,
+                null,
+                blockMs + 3000,
+                then);
     }
 }
--- a/src/main/java/org/mountlug/wire/Calls.java
+++ b/src/main/java/org/mountlug/wire/Calls.java
@@ -1,7 +1,6 @@
 package org.mountlug.wire;
 
 import io.undertow.util.HttpString;
-
 import java.util.Map;
 import java.util.function.Consumer;
 
--- a/src/main/java/org/mountlug/wire/Cbor.java
+++ b/src/main/java/org/mountlug/wire/Cbor.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
-
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.math.BigInteger;
@@ -26,9 +25,13 @@
     /** Reads one value; anything after it, or nothing, is an error. */
     public static Object read(byte[] body) throws IOException {
         try (JsonParser p = FACTORY.createParser(body)) {
-            if (p.nextToken() == null) throw new IOException("empty body");
+            if (p.nextToken() == null) {
+                throw new IOException("empty body");
+            }
             Object v = value(p, 0);
-            if (p.nextToken() != null) throw new IOException("more than one value");
+            if (p.nextToken() != null) {
+                throw new IOException("more than one value");
+            }
             return v;
         }
     }
@@ -36,22 +39,32 @@
     @SuppressWarnings("unchecked")
     public static Map<String, Object> readMap(byte[] body) throws IOException {
         Object v = read(body);
-        if (!(v instanceof Map)) throw new IOException("not a map");
+        if (!(v instanceof Map)) {
+            throw new IOException("not a map");
+        }
         return (Map<String, Object>) v;
     }
 
     /** Reads the value at which a streaming parser stands; serves TOML as well. */
     public static Object value(JsonParser p, int depth) throws IOException {
-        if (depth > DEPTH_MAX) throw new IOException("nested too deeply");
+        if (depth > DEPTH_MAX) {
+            throw new IOException("nested too deeply");
+        }
         JsonToken t = p.currentToken();
-        if (t == null) throw new IOException("value cut short");
+        if (t == null) {
+            throw new IOException("value cut short");
+        }
         switch (t) {
             case START_OBJECT -> {
                 Map<String, Object> m = new LinkedHashMap<>();
                 while (true) {
                     JsonToken n = p.nextToken();
-                    if (n == JsonToken.END_OBJECT) return m;
-                    if (n != JsonToken.FIELD_NAME) throw new IOException("value cut short");
+                    if (n == JsonToken.END_OBJECT) {
+                        return m;
+                    }
+                    if (n != JsonToken.FIELD_NAME) {
+                        throw new IOException("value cut short");
+                    }
                     String k = p.currentName();
                     p.nextToken();
                     m.put(k, value(p, depth + 1));
@@ -61,8 +74,12 @@
                 List<Object> l = new ArrayList<>();
                 while (true) {
                     JsonToken n = p.nextToken();
-                    if (n == JsonToken.END_ARRAY) return l;
-                    if (n == null) throw new IOException("value cut short");
+                    if (n == JsonToken.END_ARRAY) {
+                        return l;
+                    }
+                    if (n == null) {
+                        throw new IOException("value cut short");
+                    }
                     l.add(value(p, depth + 1));
                 }
             }
@@ -100,14 +117,21 @@
     }
 
     private static void put(JsonGenerator g, Object v) throws IOException {
-        if (v == null) g.writeNull();
-        else if (v instanceof String s) g.writeString(s);
-        else if (v instanceof Long n) g.writeNumber(n.longValue());
-        else if (v instanceof Integer n) g.writeNumber(n.intValue());
-        else if (v instanceof Double d) g.writeNumber(d.doubleValue());
-        else if (v instanceof BigInteger b) g.writeNumber(b);
-        else if (v instanceof Boolean b) g.writeBoolean(b);
-        else if (v instanceof Map<?, ?> m) {
+        if (v == null) {
+            g.writeNull();
+        } else if (v instanceof String s) {
+            g.writeString(s);
+        } else if (v instanceof Long n) {
+            g.writeNumber(n.longValue());
+        } else if (v instanceof Integer n) {
+            g.writeNumber(n.intValue());
+        } else if (v instanceof Double d) {
+            g.writeNumber(d.doubleValue());
+        } else if (v instanceof BigInteger b) {
+            g.writeNumber(b);
+        } else if (v instanceof Boolean b) {
+            g.writeBoolean(b);
+        } else if (v instanceof Map<?, ?> m) {
             g.writeStartObject(m, m.size());
             for (Map.Entry<?, ?> e : m.entrySet()) {
                 g.writeFieldName((String) e.getKey());
@@ -116,8 +140,12 @@
             g.writeEndObject();
         } else if (v instanceof List<?> l) {
             g.writeStartArray(l, l.size());
-            for (Object o : l) put(g, o);
+            for (Object o : l) {
+                put(g, o);
+            }
             g.writeEndArray();
-        } else throw new IllegalArgumentException("cannot write " + v.getClass());
+        } else {
+            throw new IllegalArgumentException("cannot write " + v.getClass());
+        }
     }
 }
--- a/src/main/java/org/mountlug/wire/Http.java
+++ b/src/main/java/org/mountlug/wire/Http.java
@@ -9,14 +9,6 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.XnioExecutor;
-import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
-
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
@@ -25,6 +17,13 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
 
 /**
  * Requests to one address over kept connections, on the I/O thread only. Every call has a time limit after which its
@@ -85,35 +84,45 @@
             open--;
         }
         if (open >= most) {
-            if (waiting.size() < 4 * most) waiting.add(c);
-            else c.finish(UNSENT);
+            if (waiting.size() < 4 * most) {
+                waiting.add(c);
+            } else {
+                c.finish(UNSENT);
+            }
             return;
         }
         open++;
         c.connecting = true;
-        client.connect(new ClientCallback<>() {
-            @Override
-            public void completed(ClientConnection k) {
-                if (c.over) {
-                    release(k, true);
-                } else {
-                    c.connecting = false;
-                    c.send(k);
-                }
-            }
+        client.connect(
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection k) {
+                        if (c.over) {
+                            release(k, true);
+                        } else {
+                            c.connecting = false;
+                            c.send(k);
+                        }
+                    }
 
-            @Override
-            public void failed(IOException e) {
-                open--;
-                c.finish(UNSENT);
-                next();
-            }
-        }, uri, thread, null, pool, OptionMap.EMPTY);
+                    @Override
+                    public void failed(IOException e) {
+                        open--;
+                        c.finish(UNSENT);
+                        next();
+                    }
+                },
+                uri,
+                thread,
+                null,
+                pool,
+                OptionMap.EMPTY);
     }
 
     private void release(ClientConnection k, boolean usable) {
-        if (usable && keep && k.isOpen()) idle.addLast(k);
-        else {
+        if (usable && keep && k.isOpen()) {
+            idle.addLast(k);
+        } else {
             IoUtils.safeClose(k);
             open--;
         }
@@ -137,6 +146,7 @@
         final Consumer<Answer> then;
         /** When it is given up; the timer may fire late. */
         final long dueNs;
+
         XnioExecutor.Key timer;
         ClientConnection connection;
         boolean connecting;
@@ -152,25 +162,35 @@
         }
 
         void timeout() {
-            if (over) return;
+            if (over) {
+                return;
+            }
             ClientConnection k = connection;
             connection = null;
             boolean sent = k != null;
-            if (k != null) release(k, false);
+            if (k != null) {
+                release(k, false);
+            }
             finish(sent ? NOTHING : UNSENT);
         }
 
         void finish(Answer a) {
-            if (over) return;
+            if (over) {
+                return;
+            }
             over = true;
-            if (timer != null) timer.remove();
+            if (timer != null) {
+                timer.remove();
+            }
             then.accept(a);
         }
 
         void lost() {
             ClientConnection k = connection;
             connection = null;
-            if (k != null) release(k, false);
+            if (k != null) {
+                release(k, false);
+            }
             finish(NOTHING);
         }
 
@@ -196,7 +216,9 @@
                             lost();
                         }
                     });
-                    if (body != null) write(x.getRequestChannel());
+                    if (body != null) {
+                        write(x.getRequestChannel());
+                    }
                 }
 
                 @Override
@@ -224,7 +246,9 @@
                 if (!ch.flush()) {
                     ch.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, (c, e) -> lost()));
                     ch.resumeWrites();
-                } else ch.suspendWrites();
+                } else {
+                    ch.suspendWrites();
+                }
             } catch (IOException e) {
                 lost();
             }
@@ -238,7 +262,9 @@
         }
 
         void pull(ClientExchange x, StreamSourceChannel ch) {
-            if (connection == null) return;
+            if (connection == null) {
+                return;
+            }
             try (PooledByteBuffer p = pool.allocate()) {
                 ByteBuffer b = p.getBuffer();
                 while (true) {
@@ -248,7 +274,9 @@
                         ch.resumeReads();
                         return;
                     }
-                    if (n < 0) break;
+                    if (n < 0) {
+                        break;
+                    }
                     b.flip();
                     byte[] a = new byte[b.remaining()];
                     b.get(a);
@@ -269,13 +297,17 @@
                 try {
                     m = Fields.map(Cbor.read(raw));
                 } catch (IOException e) {
-                    if (status == 200) status = 0; // an answer that cannot be read says nothing of what was done
+                    if (status == 200) {
+                        status = 0; // an answer that cannot be read says nothing of what was done
+                    }
                 }
             }
             ClientConnection k = connection;
             connection = null;
             boolean keep = k.isOpen()
-                    && !"close".equalsIgnoreCase(x.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+                    && !"close"
+                            .equalsIgnoreCase(
+                                    x.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
             // The connection is free only after Undertow has finished the exchange, later in this turn of the thread.
             thread.execute(() -> release(k, keep));
             finish(new Answer(status, m, true));
--- a/src/main/java/org/mountlug/wire/Json.java
+++ b/src/main/java/org/mountlug/wire/Json.java
@@ -10,15 +10,21 @@
     public static int length(Object o) {
         if (o instanceof Map<?, ?> m) {
             int n = 2 + Math.max(0, m.size() - 1);
-            for (Map.Entry<?, ?> e : m.entrySet()) n += length(e.getKey()) + 1 + length(e.getValue());
+            for (Map.Entry<?, ?> e : m.entrySet()) {
+                n += length(e.getKey()) + 1 + length(e.getValue());
+            }
             return n;
         }
         if (o instanceof List<?> l) {
             int n = 2 + Math.max(0, l.size() - 1);
-            for (Object x : l) n += length(x);
+            for (Object x : l) {
+                n += length(x);
+            }
             return n;
         }
-        if (!(o instanceof String s)) return String.valueOf(o).length();
+        if (!(o instanceof String s)) {
+            return String.valueOf(o).length();
+        }
         int n = 2;
         for (int i = 0; i < s.length(); i++) {
             char c = s.charAt(i);
--- a/src/test/java/org/mountlug/Samples.java
+++ b/src/test/java/org/mountlug/Samples.java
@@ -1,5 +1,8 @@
 package org.mountlug;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Cause;
@@ -14,24 +17,19 @@
 import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
-import java.util.Map;
-
 /** Small worlds for the tests. */
 public final class Samples {
     public static final long TOKEN = 7;
-    public static final MachineType SMALL = new MachineType("small", new Resources(4, 0, 32), 50, 1, 0.2, 0.08, 30,
-            List.of("a", "b"));
-    public static final MachineType GPU = new MachineType("gpu", new Resources(24, 2, 96), 50, 1, 4, 2, 60,
-            List.of("a", "b"));
+    public static final MachineType SMALL =
+            new MachineType("small", new Resources(4, 0, 32), 50, 1, 0.2, 0.08, 30, List.of("a", "b"));
+    public static final MachineType GPU =
+            new MachineType("gpu", new Resources(24, 2, 96), 50, 1, 4, 2, 60, List.of("a", "b"));
 
     private Samples() {}
 
     public static Cluster cluster(Team... teams) {
-        Cluster c = new Cluster(TOKEN, 10,
-                teams.length == 0 ? List.of(new Team("t", 0, 0, 0, 0, 1)) : Arrays.asList(teams));
+        Cluster c = new Cluster(
+                TOKEN, 10, teams.length == 0 ? List.of(new Team("t", 0, 0, 0, 0, 1)) : Arrays.asList(teams));
         c.catalogue(List.of(SMALL, GPU));
         return c;
     }
@@ -41,8 +39,26 @@
     }
 
     public static JobSpec spec(String id, Shape shape, int tasks, Resources need, Urgency u) {
-        return new JobSpec(id, "lane", "t", shape, u, tasks, need, null, null, false, false, true, "img", 1, 30, 15, 3,
-                Double.NaN, 0);
+        return new JobSpec(
+                id,
+                "lane",
+                "t",
+                shape,
+                u,
+                tasks,
+                need,
+                null,
+                null,
+                false,
+                false,
+                true,
+                "img",
+                1,
+                30,
+                15,
+                3,
+                Double.NaN,
+                0);
     }
 
     public static JobSpec array(String id, int tasks) {
@@ -50,9 +66,26 @@
     }
 
     public static JobSpec zones(JobSpec s, boolean oneZone, boolean apart) {
-        return new JobSpec(s.id(), s.lane(), s.team(), s.shape(), s.urgency(), s.tasks(), s.need(), s.types(), s.zone(),
-                oneZone, apart, s.spot(), s.image(), s.imageGb(), s.expectedS(), s.checkpointS(), s.saveS(),
-                s.deadlineS(), s.submittedMs());
+        return new JobSpec(
+                s.id(),
+                s.lane(),
+                s.team(),
+                s.shape(),
+                s.urgency(),
+                s.tasks(),
+                s.need(),
+                s.types(),
+                s.zone(),
+                oneZone,
+                apart,
+                s.spot(),
+                s.image(),
+                s.imageGb(),
+                s.expectedS(),
+                s.checkpointS(),
+                s.saveS(),
+                s.deadlineS(),
+                s.submittedMs());
     }
 
     public static Job live(Cluster c, JobSpec s) {
@@ -62,10 +95,9 @@
         return j;
     }
 
-    public static Report report(String machine, String type, String zone, long session, long seq, long token,
-                                Report.Item... items) {
-        return new Report(machine, "10.0.0.9:1", type, zone, false, session, seq, token, Double.NaN,
-                List.of(items));
+    public static Report report(
+            String machine, String type, String zone, long session, long seq, long token, Report.Item... items) {
+        return new Report(machine, "10.0.0.9:1", type, zone, false, session, seq, token, Double.NaN, List.of(items));
     }
 
     public static Report.Item item(String job, int task, long attempt, TaskState s, Cause c) {
@@ -82,12 +114,16 @@
 
     /** Marks everything decided as durable. */
     public static void persist(Job... jobs) {
-        for (Job j : jobs) j.persisted();
+        for (Job j : jobs) {
+            j.persisted();
+        }
     }
 
     public static List<String> verbs(List<Order> orders) {
         List<String> l = new ArrayList<>();
-        for (Order o : orders) l.add(o.verb() + " " + o.task() + "#" + o.attempt());
+        for (Order o : orders) {
+            l.add(o.verb() + " " + o.task() + "#" + o.attempt());
+        }
         return l;
     }
 }
--- a/src/test/java/org/mountlug/api/JobParserTest.java
+++ b/src/test/java/org/mountlug/api/JobParserTest.java
@@ -1,5 +1,13 @@
 package org.mountlug.api;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -12,15 +20,6 @@
 import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.stream.Stream;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.params.provider.Arguments.arguments;
-
 /** What users may send, field by field. */
 class JobParserTest {
     private static Map<String, Object> good() {
@@ -31,20 +30,38 @@
         m.put("shape", "array");
         m.put("urgency", "high");
         m.put("pieces", 16L);
-        for (String k : List.of("vcpus", "ramGb", "expectedS", "imageGb", "cards", "bookmarkS", "stashS")) m.put(k, 1.0);
-        for (String k : List.of("oneZone", "apart", "loaners")) m.put(k, false);
+        for (String k : List.of("vcpus", "ramGb", "expectedS", "imageGb", "cards", "bookmarkS", "stashS")) {
+            m.put(k, 1.0);
+        }
+        for (String k : List.of("oneZone", "apart", "loaners")) {
+            m.put(k, false);
+        }
         m.put("bundle", "i");
         return m;
     }
 
     static Stream<Arguments> bad() {
-        return Stream.of(arguments("nameId", "x-1"), arguments("nameId", null), arguments("lane", 3L),
-                arguments("shape", "ring"), arguments("urgency", "normal"), arguments("pieces", 0L),
-                arguments("pieces", 100_001L), arguments("pieces", 1.5), arguments("vcpus", -1.0),
-                arguments("vcpus", Double.NaN), arguments("ramGb", "much"), arguments("cards", Double.POSITIVE_INFINITY),
-                arguments("builds", "g8"), arguments("builds", List.of(1L)), arguments("site", 7L),
-                arguments("oneZone", "yes"), arguments("loaners", null), arguments("bundle", ""),
-                arguments("expectedS", null), arguments("dueS", "soon"));
+        return Stream.of(
+                arguments("nameId", "x-1"),
+                arguments("nameId", null),
+                arguments("lane", 3L),
+                arguments("shape", "ring"),
+                arguments("urgency", "normal"),
+                arguments("pieces", 0L),
+                arguments("pieces", 100_001L),
+                arguments("pieces", 1.5),
+                arguments("vcpus", -1.0),
+                arguments("vcpus", Double.NaN),
+                arguments("ramGb", "much"),
+                arguments("cards", Double.POSITIVE_INFINITY),
+                arguments("builds", "g8"),
+                arguments("builds", List.of(1L)),
+                arguments("site", 7L),
+                arguments("oneZone", "yes"),
+                arguments("loaners", null),
+                arguments("bundle", ""),
+                arguments("expectedS", null),
+                arguments("dueS", "soon"));
     }
 
     @ParameterizedTest(name = "{0} = {1}")
@@ -52,7 +69,10 @@
     void malformedFieldsAreNamed(String field, Object value) {
         Map<String, Object> m = good();
         m.put(field, value);
-        assertEquals(field, assertThrows(JobParser.Malformed.class, () -> JobParser.parse(m, 0)).getMessage());
+        assertEquals(
+                field,
+                assertThrows(JobParser.Malformed.class, () -> JobParser.parse(m, 0))
+                        .getMessage());
     }
 
     @Test
@@ -74,9 +94,15 @@
     }
 
     @ParameterizedTest(name = "team {0}, {1} of {2} tasks of {3} CPUs: {4}")
-    @CsvSource({"t, ARRAY, 100, 4, ", "x, ARRAY, 1, 4, unknown team", "t, ARRAY, 1, 30, a task fits no allowed machine type",
-            "t, GANG, 3, 4, needs more than the team's limit", "t, GANG, 2, 4, ",
-            "t, SERVICE, 3, 4, needs more than the team's limit", "t, SERVICE, 2, 4, "})
+    @CsvSource({
+        "t, ARRAY, 100, 4, ",
+        "x, ARRAY, 1, 4, unknown team",
+        "t, ARRAY, 1, 30, a task fits no allowed machine type",
+        "t, GANG, 3, 4, needs more than the team's limit",
+        "t, GANG, 2, 4, ",
+        "t, SERVICE, 3, 4, needs more than the team's limit",
+        "t, SERVICE, 2, 4, "
+    })
     void whatCanNeverRun(String team, Shape shape, int tasks, double cpus, String why) {
         JobSpec s = Samples.spec("wk-000001", shape, tasks, new Resources(cpus, 0, 1), Urgency.HIGH);
         Team t = new Team("t", 0, 8, 0, 0, 1);
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -1,5 +1,10 @@
 package org.mountlug.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,12 +22,6 @@
 import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
 
-import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /** The design's round: ready, pipelined or discarded; reservations that last; limits and zones. */
 class AllocatorTest {
     private static final Resources WHOLE_GPU = new Resources(20, 2, 60);
@@ -38,7 +37,8 @@
         Samples.up(c, "n-2", "gpu", "a");
         Job g = Samples.live(c, Samples.spec("wk-000001", true, 2, WHOLE_GPU, Urgency.HIGH));
         assertEquals(2, round(c, 1));
-        assertEquals(1, g.placed.values().stream().map(p -> p.attempt).distinct().count());
+        assertEquals(
+                1, g.placed.values().stream().map(p -> p.attempt).distinct().count());
     }
 
     @Test
@@ -99,14 +99,21 @@
         // "apart" allows three of five in one zone; zone b has room for two, of which one machine gives two.
         int n = round(c, 1);
         assertEquals(apart ? 5 : placed, n);
-        if (apart) assertTrue(j.placedIn("a") <= 3);
-        if (one) assertEquals(1, j.placed.values().stream().map(p -> p.zone).distinct().count());
+        if (apart) {
+            assertTrue(j.placedIn("a") <= 3);
+        }
+        if (one) {
+            assertEquals(
+                    1, j.placed.values().stream().map(p -> p.zone).distinct().count());
+        }
     }
 
     @Test
     void aTeamsLimitCountsEverythingNotProvenGone() {
         Cluster c = Samples.cluster(new Team("t", 0, 4, 0, 0, 1));
-        for (int i = 1; i <= 3; i++) Samples.up(c, "n-" + i, "small", "a");
+        for (int i = 1; i <= 3; i++) {
+            Samples.up(c, "n-" + i, "small", "a");
+        }
         Job j = Samples.live(c, Samples.array("wk-000001", 6));
         assertEquals(2, round(c, 1));
         c.machines.get(j.placed.get(0).machine).synced = false; // silent, perhaps still running
@@ -130,14 +137,23 @@
     @CsvSource({", 0, 3", "n-1, 0, 3", "n-3, 0, 2", ", 8, 1"})
     void replicasAreSpread(String silent, double limit, int placed) {
         Cluster c = Samples.cluster(new Team("t", 0, limit, 0, 0, 1));
-        for (int i = 1; i <= 4; i++) Samples.up(c, "n-" + i, "small", i < 3 ? "a" : "b");
-        JobSpec s = Samples.zones(Samples.spec("wk-000001", Shape.SERVICE, 6, new Resources(2, 0, 8), Urgency.PROD), false, true);
+        for (int i = 1; i <= 4; i++) {
+            Samples.up(c, "n-" + i, "small", i < 3 ? "a" : "b");
+        }
+        JobSpec s = Samples.zones(
+                Samples.spec("wk-000001", Shape.SERVICE, 6, new Resources(2, 0, 8), Urgency.PROD), false, true);
         Job j = Samples.live(c, s);
-        for (int t = 0; t < 3; t++) c.place(j, t, 1, c.machines.get(t < 2 ? "n-1" : "n-2"), 0);
-        if (silent != null) c.machines.get(silent).synced = false;
+        for (int t = 0; t < 3; t++) {
+            c.place(j, t, 1, c.machines.get(t < 2 ? "n-1" : "n-2"), 0);
+        }
+        if (silent != null) {
+            c.machines.get(silent).synced = false;
+        }
         assertEquals(placed, round(c, 1));
         assertTrue(j.placedIn("a") <= 3 && j.placedIn("b") <= 3);
-        for (Machine m : c.machines.values()) assertTrue(m.placed.size() <= 2);
+        for (Machine m : c.machines.values()) {
+            assertTrue(m.placed.size() <= 2);
+        }
     }
 
     /** Beside accelerator work a replica takes only what no such work could use, however empty the machine is. */
@@ -146,7 +162,9 @@
     void replicasLeaveAcceleratorsTheirCompanions(double cpus, int room) {
         Cluster c = Samples.cluster();
         Samples.up(c, "n-1", "gpu", "a");
-        if (cpus > 0) Samples.live(c, Samples.spec("wk-000001", true, 2, new Resources(cpus, 2, 77), Urgency.HIGH));
+        if (cpus > 0) {
+            Samples.live(c, Samples.spec("wk-000001", true, 2, new Resources(cpus, 2, 77), Urgency.HIGH));
+        }
         Job j = Samples.live(c, Samples.spec("wk-000002", Shape.SERVICE, 6, new Resources(1, 0, 2), Urgency.PROD));
         round(c, 5);
         assertEquals(room, j.placed.size());
@@ -159,8 +177,28 @@
         Samples.live(c, Samples.array("wk-000001", 1));
         Samples.live(c, Samples.array("wk-000002", 1));
         var s = Samples.array("wk-000003", 1);
-        Job u = Samples.live(c, new org.mountlug.core.model.JobSpec("wk-000003", s.lane(), "u", Shape.ARRAY, s.urgency(), 1,
-                s.need(), null, null, false, false, true, "img", 1, 30, 15, 3, Double.NaN, 99));
+        Job u = Samples.live(
+                c,
+                new org.mountlug.core.model.JobSpec(
+                        "wk-000003",
+                        s.lane(),
+                        "u",
+                        Shape.ARRAY,
+                        s.urgency(),
+                        1,
+                        s.need(),
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        "img",
+                        1,
+                        30,
+                        15,
+                        3,
+                        Double.NaN,
+                        99));
         assertEquals(2, round(c, 1));
         assertFalse(u.placed.isEmpty());
     }
--- a/src/test/java/org/mountlug/core/ElectionTest.java
+++ b/src/test/java/org/mountlug/core/ElectionTest.java
@@ -1,12 +1,12 @@
 package org.mountlug.core;
 
-import org.junit.jupiter.api.Test;
-import org.mountlug.core.lead.Election;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.junit.jupiter.api.Test;
+import org.mountlug.core.lead.Election;
+
 /** Terms: who leads, with which token, and for how long that is proven. */
 class ElectionTest {
     private final Election e = new Election("x", "n1");
--- a/src/test/java/org/mountlug/core/PreemptorTest.java
+++ b/src/test/java/org/mountlug/core/PreemptorTest.java
@@ -1,5 +1,9 @@
 package org.mountlug.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mountlug.Samples;
@@ -14,30 +18,45 @@
 import org.mountlug.core.model.Urgency;
 import org.mountlug.core.preempt.Preemptor;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 /** Who may be stopped for whom: a higher priority, or a team's guarantee at the cost of what is beyond another's. */
 class PreemptorTest {
     private static JobSpec of(String id, String team, Urgency u) {
         JobSpec s = Samples.spec(id, true, 1, new Resources(20, 2, 60), u);
-        return new JobSpec(id, s.lane(), team, Shape.GANG, u, 1, s.need(), null, null, false, false, true, "img", 1, 30, 15, 3,
-                Double.NaN, 0);
+        return new JobSpec(
+                id,
+                s.lane(),
+                team,
+                Shape.GANG,
+                u,
+                1,
+                s.need(),
+                null,
+                null,
+                false,
+                false,
+                true,
+                "img",
+                1,
+                30,
+                15,
+                3,
+                Double.NaN,
+                0);
     }
 
     @ParameterizedTest(name = "{0} of t, guaranteed {1} GPUs, over {5} of {2} of u, guaranteed {3}: stopped {4}")
     @CsvSource({
-            "HIGH, 0, STANDARD, 0, true, 1",
-            "STANDARD, 0, STANDARD, 0, false, 1",
-            "STANDARD, 0, HIGH, 0, false, 1",
-            "IDLE, 4, HIGH, 1, true, 2",       // t below its guarantee, u beyond its own even afterwards
-            "IDLE, 4, HIGH, 1, false, 1",      // u would fall below its own
-            "STANDARD, 4, HIGH, 4, false, 2",  // u within its own
-            "STANDARD, 0, STANDARD, 1, false, 2"})
+        "HIGH, 0, STANDARD, 0, true, 1",
+        "STANDARD, 0, STANDARD, 0, false, 1",
+        "STANDARD, 0, HIGH, 0, false, 1",
+        "IDLE, 4, HIGH, 1, true, 2", // t below its guarantee, u beyond its own even afterwards
+        "IDLE, 4, HIGH, 1, false, 1", // u would fall below its own
+        "STANDARD, 4, HIGH, 4, false, 2", // u within its own
+        "STANDARD, 0, STANDARD, 1, false, 2"
+    })
     void whoMayBeStopped(Urgency mine, double myGpus, Urgency theirs, double theirGpus, boolean stopped, int running) {
-        Cluster c = Samples.cluster(new Team("t", myGpus > 0 ? 100 : 0, 0, myGpus, 0, 1),
+        Cluster c = Samples.cluster(
+                new Team("t", myGpus > 0 ? 100 : 0, 0, myGpus, 0, 1),
                 new Team("u", theirGpus > 0 ? 100 : 0, 0, theirGpus, 0, 1));
         List<Job> victims = new ArrayList<>();
         for (int i = 0; i < running; i++) {
@@ -49,8 +68,12 @@
         Allocator round = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 2), 2);
         round.round();
         new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), new ReplicaTimes(j -> 8, 2), 2);
-        assertEquals(stopped ? 1 : 0, victims.stream().filter(v -> v.placed.get(0).stopping).count());
-        if (!stopped) return;
+        assertEquals(
+                stopped ? 1 : 0,
+                victims.stream().filter(v -> v.placed.get(0).stopping).count());
+        if (!stopped) {
+            return;
+        }
         // The room counts as releasing, so the next round reserves it for the gang.
         new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
         assertEquals(1, c.reservations.get("wk-000002").size());
@@ -62,15 +85,39 @@
     void aTeamKeepsItsGuaranteeThroughSeveralRounds(int gangs, int tasks, double guarantee, int waiting, int stopped) {
         Cluster c = Samples.cluster(new Team("t", 1000, 0, 100, 0, 1), new Team("u", 1000, 0, guarantee, 0, 1));
         List<Job> victims = new ArrayList<>();
-        for (int i = 0; i < gangs * tasks; i++) Samples.up(c, "n-" + i, "gpu", "a");
+        for (int i = 0; i < gangs * tasks; i++) {
+            Samples.up(c, "n-" + i, "gpu", "a");
+        }
         for (int i = 0; i < gangs; i++) {
             JobSpec s = of("wk-10000" + i, "u", Urgency.STANDARD);
-            victims.add(Samples.live(c, new JobSpec(s.id(), s.lane(), s.team(), Shape.GANG, s.urgency(), tasks, s.need(), null,
-                    null, false, false, true, "img", 1, 30, 15, 3, Double.NaN, 0)));
+            victims.add(Samples.live(
+                    c,
+                    new JobSpec(
+                            s.id(),
+                            s.lane(),
+                            s.team(),
+                            Shape.GANG,
+                            s.urgency(),
+                            tasks,
+                            s.need(),
+                            null,
+                            null,
+                            false,
+                            false,
+                            true,
+                            "img",
+                            1,
+                            30,
+                            15,
+                            3,
+                            Double.NaN,
+                            0)));
         }
         new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         List<Job> mine = new ArrayList<>();
-        for (int i = 0; i < waiting; i++) mine.add(Samples.live(c, of("wk-20000" + i, "t", Urgency.STANDARD)));
+        for (int i = 0; i < waiting; i++) {
+            mine.add(Samples.live(c, of("wk-20000" + i, "t", Urgency.STANDARD)));
+        }
         Preemptor p = new Preemptor(c);
         for (int round = 0; round < 4; round++) {
             double now = 2 + 4 * round;
@@ -78,11 +125,17 @@
             a.round();
             p.round(mine, a.nodes(), a.usage(), new ReplicaTimes(j -> 8, now), now);
         }
-        assertEquals(stopped, victims.stream().flatMap(v -> v.placed.values().stream()).filter(q -> q.stopping).count());
+        assertEquals(
+                stopped,
+                victims.stream()
+                        .flatMap(v -> v.placed.values().stream())
+                        .filter(q -> q.stopping)
+                        .count());
     }
 
     /** Stopping for a part of a gang frees room that is filled again at once, and stopped again, for as long as it waits. */
-    @ParameterizedTest(name = "gang of {0}: {1} machines idle, {2} with work that may be stopped, {3} with other: stopped {4}")
+    @ParameterizedTest(
+            name = "gang of {0}: {1} machines idle, {2} with work that may be stopped, {3} with other: stopped {4}")
     @CsvSource({"2, 0, 2, 0, 2", "2, 1, 2, 0, 1", "2, 1, 0, 1, 0", "2, 0, 1, 1, 0", "4, 2, 1, 1, 0", "4, 1, 3, 0, 3"})
     void aGangStopsAllThatItNeedsOrNothing(int tasks, int idle, int low, int high, int stopped) {
         Cluster c = Samples.cluster();
@@ -92,8 +145,11 @@
             all.add(Samples.live(c, of("wk-10000" + i, "t", i < low ? Urgency.IDLE : Urgency.HIGH)));
         }
         new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
-        for (int i = 0; i < idle; i++) Samples.up(c, "n-9" + i, "gpu", "a");
-        JobSpec s = Samples.zones(Samples.spec("wk-000002", true, tasks, new Resources(20, 2, 60), Urgency.HIGH), true, false);
+        for (int i = 0; i < idle; i++) {
+            Samples.up(c, "n-9" + i, "gpu", "a");
+        }
+        JobSpec s = Samples.zones(
+                Samples.spec("wk-000002", true, tasks, new Resources(20, 2, 60), Urgency.HIGH), true, false);
         Job gang = Samples.live(c, s);
         Allocator round = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 2), 2);
         round.round();
--- a/src/test/java/org/mountlug/core/ProofTest.java
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -1,5 +1,14 @@
 package org.mountlug.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.mountlug.Samples.TOKEN;
+import static org.mountlug.Samples.item;
+import static org.mountlug.Samples.report;
+
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -11,20 +20,10 @@
 import org.mountlug.core.model.Order;
 import org.mountlug.core.model.Report;
 import org.mountlug.core.model.Resources;
-import org.mountlug.core.model.Urgency;
 import org.mountlug.core.model.TaskState;
+import org.mountlug.core.model.Urgency;
 import org.mountlug.core.scale.Listed;
 
-import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.mountlug.Samples.TOKEN;
-import static org.mountlug.Samples.item;
-import static org.mountlug.Samples.report;
-
 /** A task leaves its place only with a proof: each case guards against a task running twice or after its abort. */
 class ProofTest {
     private final Cluster c = Samples.cluster();
@@ -69,15 +68,33 @@
 
     /** Whoever answers renews the lease, so what is cancelled stops with the first answer, whatever token came before. */
     @ParameterizedTest(name = "token {0} below ours, attempt {1}, {2}, cancelled {3}")
-    @CsvSource({"1, 1, RUNNING, true, STOP", "1, 1, WAITING, true, STOP", "1, 1, EXITED, true, ''", "1, 2, RUNNING, true, ''",
-            "1, 1, RUNNING, false, ''", "0, 1, RUNNING, true, STOP"})
-    void aCancelledTaskStopsWithTheFirstAnswer(int below, long attempt, TaskState state, boolean cancelled, String order) {
+    @CsvSource({
+        "1, 1, RUNNING, true, STOP",
+        "1, 1, WAITING, true, STOP",
+        "1, 1, EXITED, true, ''",
+        "1, 2, RUNNING, true, ''",
+        "1, 1, RUNNING, false, ''",
+        "0, 1, RUNNING, true, STOP"
+    })
+    void aCancelledTaskStopsWithTheFirstAnswer(
+            int below, long attempt, TaskState state, boolean cancelled, String order) {
         place();
         Samples.persist(j);
         j.placed.get(0).seen = true;
-        if (cancelled) c.cancelled(j, 1);
-        List<Order> o = c.report(report("n-1", "small", "a", 1, 9, TOKEN - below,
-                item("wk-000001", 0, attempt, state, state == TaskState.EXITED ? Cause.ERROR : Cause.NONE)), true, 3);
+        if (cancelled) {
+            c.cancelled(j, 1);
+        }
+        List<Order> o = c.report(
+                report(
+                        "n-1",
+                        "small",
+                        "a",
+                        1,
+                        9,
+                        TOKEN - below,
+                        item("wk-000001", 0, attempt, state, state == TaskState.EXITED ? Cause.ERROR : Cause.NONE)),
+                true,
+                3);
         assertEquals(order.isEmpty() ? List.of() : List.of("STOP wk-000001/0#1"), Samples.verbs(o));
     }
 
@@ -88,7 +105,11 @@
         place();
         Samples.persist(j);
         beat(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
-        c.carriedOut(m, report("n-1", "small", "a", 1, 6, TOKEN, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)), List.of(), 4.5);
+        c.carriedOut(
+                m,
+                report("n-1", "small", "a", 1, 6, TOKEN, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)),
+                List.of(),
+                4.5);
         double before = m.answeredS;
         c.report(report("n-1", "small", "a", session, sequence, TOKEN), true, 7);
         assertEquals(counts ? 7 : before, m.answeredS);
@@ -142,7 +163,9 @@
     @ParameterizedTest(name = "listed at {0}, missing at {1}: unlisted {2}")
     @CsvSource({"0, 15, false", "0, 21, true", "-1, 60, false"})
     void aMachineIsUnlistedOnlyAfterTheLag(double listed, double missing, boolean unlisted) {
-        if (listed >= 0) c.listed(List.of(new Listed("n-1", "x", "small", "a", false, Listed.Status.RUNNING, 9)), 10, listed);
+        if (listed >= 0) {
+            c.listed(List.of(new Listed("n-1", "x", "small", "a", false, Listed.Status.RUNNING, 9)), 10, listed);
+        }
         c.listed(List.of(), 10, missing);
         assertEquals(unlisted, m.unlisted);
     }
@@ -169,8 +192,7 @@
         j.touch(2, true);
         c.cancelled(j, 3);
         assertEquals(1, j.placed.size());
-        assertEquals(List.of("STOP wk-000001/0#1"),
-                beat(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(List.of("STOP wk-000001/0#1"), beat(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
         assertFalse(j.over());
         beat(1, 4, item("wk-000001", 0, 1, TaskState.EXITED, Cause.STOPPED));
         assertTrue(j.over());
@@ -178,7 +200,8 @@
 
     @Test
     void aStandbyStartsInTheAnswerThatShowsItsRoomFreeAndNotBefore() {
-        Job big = Samples.live(c, Samples.spec("wk-000002", false, 2, m.type.size(), org.mountlug.core.model.Urgency.HIGH));
+        Job big = Samples.live(
+                c, Samples.spec("wk-000002", false, 2, m.type.size(), org.mountlug.core.model.Urgency.HIGH));
         c.place(big, 0, ++big.attempts, m, 0);
         big.touch(0, true);
         Samples.persist(big);
@@ -192,7 +215,8 @@
 
     @Test
     void aStandbyThatWaitedTooLongGoesBackToItsQueue() {
-        Job big = Samples.live(c, Samples.spec("wk-000002", false, 2, m.type.size(), org.mountlug.core.model.Urgency.HIGH));
+        Job big = Samples.live(
+                c, Samples.spec("wk-000002", false, 2, m.type.size(), org.mountlug.core.model.Urgency.HIGH));
         c.place(big, 0, ++big.attempts, m, 0);
         c.place(big, 1, ++big.attempts, m, 0).standby = true;
         c.reviewStandbys(5);
@@ -246,7 +270,9 @@
     @Test
     void aJobThatFailsEverywhereCondemnsNoMachineButASickMachineIsFound() {
         Job other = Samples.live(c, Samples.array("wk-000002", 4));
-        for (int n = 0; n < 3; n++) fail(j, 0, 10 + 2 * n);
+        for (int n = 0; n < 3; n++) {
+            fail(j, 0, 10 + 2 * n);
+        }
         assertFalse(m.sick);
         fail(other, 0, 30);
         assertTrue(m.sick);
@@ -262,7 +288,9 @@
             default -> {
                 place();
                 Samples.persist(j);
-                for (int seq = 2; seq <= 4; seq++) beat(1, seq);
+                for (int seq = 2; seq <= 4; seq++) {
+                    beat(1, seq);
+                }
                 assertTrue(j.placed.isEmpty(), "a start ignored twice never ran");
             }
         }
@@ -317,8 +345,11 @@
         Samples.persist(g);
         List<Order> o = c.urgent(m, true, false, 1);
         Report back = report("n-1", "small", "a", 1, 8, TOKEN, item("wk-000003", 0, 1, TaskState.FETCHING, Cause.NONE));
-        if (carriedOut) c.carriedOut(m, back, o, 1);
-        else c.refused(m, 1, o);
+        if (carriedOut) {
+            c.carriedOut(m, back, o, 1);
+        } else {
+            c.refused(m, 1, o);
+        }
         assertEquals(carriedOut ? List.of() : List.of("START wk-000003/0#1"), beat(1, 7));
         assertEquals(1, g.placed.size());
         assertEquals(List.of(), c.urgent(m, true, false, 2), "refused once, it goes out in answers only");
@@ -335,8 +366,7 @@
         assertEquals(List.of("STOP wk-000001/0#1"), Samples.verbs(o));
         c.refused(m, 1, o);
         assertEquals(List.of(), c.urgent(m, true, false, 4));
-        assertEquals(List.of("STOP wk-000001/0#1"),
-                beat(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(List.of("STOP wk-000001/0#1"), beat(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
     }
 
     private void fail(Job job, int task, long seq) {
--- a/src/test/java/org/mountlug/core/ReplicasTest.java
+++ b/src/test/java/org/mountlug/core/ReplicasTest.java
@@ -1,5 +1,10 @@
 package org.mountlug.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -20,12 +25,6 @@
 import org.mountlug.core.preempt.Preemptor;
 import org.mountlug.core.scale.Scaler;
 
-import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /** What is decided about replicas, which never end: where they go, when they move, and what they are worth. */
 class ReplicasTest {
     private static final Resources NEED = new Resources(1, 0, 2);
@@ -44,8 +43,16 @@
 
     /** Whatever a replica ends with, it is wanted again, at once the first time; the next ends slow it down. */
     @ParameterizedTest(name = "{0} after {1} s, {2} times: wanted again after {3} s")
-    @CsvSource({"DONE, 1, 1, 0", "ERROR, 1, 1, 0", "STOPPED, 1, 4, 0", "ERROR, 1, 2, 2", "DONE, 1, 4, 8", "ERROR, 1, 9, 60",
-            "ERROR, 40, 9, 0", "FULL, 1, 1, 2"})
+    @CsvSource({
+        "DONE, 1, 1, 0",
+        "ERROR, 1, 1, 0",
+        "STOPPED, 1, 4, 0",
+        "ERROR, 1, 2, 2",
+        "DONE, 1, 4, 8",
+        "ERROR, 1, 9, 60",
+        "ERROR, 40, 9, 0",
+        "FULL, 1, 1, 2"
+    })
     void aReplicaThatEndedIsWantedAgain(Cause cause, double ranS, int times, double afterS) {
         Cluster c = Samples.cluster();
         Machine m = Samples.up(c, "n-1", "small", "a");
@@ -55,11 +62,29 @@
             Placement p = c.place(j, 0, ++j.attempts, m, now);
             Samples.persist(j);
             c.report(Samples.report("n-1", "small", "a", 1, 10 * i, Samples.TOKEN), true, now);
-            c.report(Samples.report("n-1", "small", "a", 1, 10 * i + 1, Samples.TOKEN,
-                    Samples.item("wk-000009", 0, p.attempt, TaskState.RUNNING, Cause.NONE)), true, now);
+            c.report(
+                    Samples.report(
+                            "n-1",
+                            "small",
+                            "a",
+                            1,
+                            10 * i + 1,
+                            Samples.TOKEN,
+                            Samples.item("wk-000009", 0, p.attempt, TaskState.RUNNING, Cause.NONE)),
+                    true,
+                    now);
             now += ranS;
-            c.report(Samples.report("n-1", "small", "a", 1, 10 * i + 2, Samples.TOKEN,
-                    Samples.item("wk-000009", 0, p.attempt, TaskState.EXITED, cause)), true, now);
+            c.report(
+                    Samples.report(
+                            "n-1",
+                            "small",
+                            "a",
+                            1,
+                            10 * i + 2,
+                            Samples.TOKEN,
+                            Samples.item("wk-000009", 0, p.attempt, TaskState.EXITED, cause)),
+                    true,
+                    now);
             assertTrue(j.placed.isEmpty() && j.done.isEmpty() && !j.over());
         }
         assertTrue(j.wants(0, now + afterS));
@@ -68,12 +93,18 @@
 
     /** Room for a replica is made at the cost of what ends anyway, not of accelerator work nor of its equals. */
     @ParameterizedTest(name = "{0} {1} of {2} CPUs and {3} GPUs on {4}: stopped {5}")
-    @CsvSource({"ARRAY, HIGH, 4, 0, small, true", "ARRAY, PROD, 4, 0, small, false", "SERVICE, HIGH, 4, 0, small, true",
-            "GANG, STANDARD, 24, 2, gpu, false", "ARRAY, STANDARD, 12, 1, gpu, false"})
+    @CsvSource({
+        "ARRAY, HIGH, 4, 0, small, true",
+        "ARRAY, PROD, 4, 0, small, false",
+        "SERVICE, HIGH, 4, 0, small, true",
+        "GANG, STANDARD, 24, 2, gpu, false",
+        "ARRAY, STANDARD, 12, 1, gpu, false"
+    })
     void whoMakesRoomForAReplica(Shape shape, Urgency u, double cpus, double gpus, String type, boolean stopped) {
         Cluster c = Samples.cluster();
         Samples.up(c, "n-1", type, "a");
-        Job other = Samples.live(c, Samples.spec("wk-000001", shape, gpus == 1 ? 2 : 1, new Resources(cpus, gpus, 8), u));
+        Job other =
+                Samples.live(c, Samples.spec("wk-000001", shape, gpus == 1 ? 2 : 1, new Resources(cpus, gpus, 8), u));
         new Allocator(c, j -> 0, times(5), 5).round();
         assertFalse(other.placed.isEmpty());
         Job j = service(c, 2);
@@ -84,21 +115,34 @@
     }
 
     /** A silent machine is given up early for its replicas only, and only if the silence is its own. */
-    @ParameterizedTest(name = "silent {0} s, {1} replicas, {2} tasks that ran {3} s, others silent {4}, woke at {5}: returned {6}")
-    @CsvSource({"4, 2, 0, 0, 0, -100, false", "6, 2, 0, 0, 0, -100, true", "6, 0, 1, 1, 0, -100, false",
-            "6, 1, 1, 90, 0, -100, false", "6, 2, 0, 0, 4, -100, false", "6, 2, 0, 0, 0, 90, false"})
-    void aSilentMachineWithReplicas(double silent, int replicas, int tasks, double ran, int others, double woke,
-                                    boolean returned) {
+    @ParameterizedTest(
+            name = "silent {0} s, {1} replicas, {2} tasks that ran {3} s, others silent {4}, woke at {5}: returned {6}")
+    @CsvSource({
+        "4, 2, 0, 0, 0, -100, false",
+        "6, 2, 0, 0, 0, -100, true",
+        "6, 0, 1, 1, 0, -100, false",
+        "6, 1, 1, 90, 0, -100, false",
+        "6, 2, 0, 0, 4, -100, false",
+        "6, 2, 0, 0, 0, 90, false"
+    })
+    void aSilentMachineWithReplicas(
+            double silent, int replicas, int tasks, double ran, int others, double woke, boolean returned) {
         Cluster c = Samples.cluster();
         c.woke(woke);
         double now = 100;
-        for (int i = 0; i < 12; i++) Samples.up(c, "n-" + (10 + i), "small", "a").heardS = i < others ? now - silent : now;
+        for (int i = 0; i < 12; i++) {
+            Samples.up(c, "n-" + (10 + i), "small", "a").heardS = i < others ? now - silent : now;
+        }
         Machine m = Samples.up(c, "n-1", "small", "a");
         m.heardS = now - silent;
         Job j = service(c, Math.max(1, replicas));
-        for (int t = 0; t < replicas; t++) c.place(j, t, 1, m, 0);
+        for (int t = 0; t < replicas; t++) {
+            c.place(j, t, 1, m, 0);
+        }
         Job k = Samples.live(c, Samples.spec("wk-000002", Shape.ARRAY, 1, new Resources(2, 0, 8), Urgency.HIGH));
-        for (int t = 0; t < tasks; t++) c.place(k, t, 1, m, 0).runningS = now - ran;
+        for (int t = 0; t < tasks; t++) {
+            c.place(k, t, 1, m, 0).runningS = now - ran;
+        }
         assertEquals(returned, scaler(c).returns(now, 0).contains("n-1"));
     }
 
@@ -108,15 +152,21 @@
     void replicasMoveBeforeTheirMachineGoes(boolean room, double left, int stopped) {
         Cluster c = Samples.cluster();
         Machine m = Samples.up(c, "n-1", "small", "a");
-        if (room) Samples.up(c, "n-2", "small", "a");
+        if (room) {
+            Samples.up(c, "n-2", "small", "a");
+        }
         Job j = service(c, 4);
-        for (int t = 0; t < 4; t++) c.place(j, t, 1, m, 0);
+        for (int t = 0; t < 4; t++) {
+            c.place(j, t, 1, m, 0);
+        }
         m.takenS = 10 + left;
         Scaler s = scaler(c);
         s.drain(10);
         assertEquals(stopped, j.placed.values().stream().filter(p -> p.stopping).count());
         // What has to move, and what has no place yet, needs a machine as much as what waits.
-        if (!room) assertFalse(s.rentals(10, 0).isEmpty());
+        if (!room) {
+            assertFalse(s.rentals(10, 0).isEmpty());
+        }
     }
 
     /** Room for the next services is rented and kept by what was lately asked for, and for nothing else. */
@@ -124,13 +174,19 @@
     @CsvSource({"0, 5, 3, false, 3", "4, 5, 3, false, 2", "4, 500, 3, false, 3", "16, 5, 3, true, 0"})
     void roomForServicesToCome(int replicas, double agoS, int idle, boolean rents, int returned) {
         Cluster c = Samples.cluster();
-        for (int i = 0; i < idle; i++) Samples.up(c, "n-" + (10 + i), "small", "a");
+        for (int i = 0; i < idle; i++) {
+            Samples.up(c, "n-" + (10 + i), "small", "a");
+        }
         if (replicas > 0) {
             Machine m = Samples.up(c, "n-1", "gpu", "a");
             Job j = service(c, replicas);
-            for (int t = 0; t < replicas; t++) c.place(j, t, 1, m, 0);
+            for (int t = 0; t < replicas; t++) {
+                c.place(j, t, 1, m, 0);
+            }
+        }
+        for (Machine m : c.machines.values()) {
+            m.heardS = 90;
         }
-        for (Machine m : c.machines.values()) m.heardS = 90;
         Scaler s = scaler(c);
         assertEquals(rents, !s.rentals(90, agoS).isEmpty());
         assertEquals(returned, s.returns(90, agoS).size());
@@ -154,19 +210,25 @@
     @Test
     void oneReplicaWarmsACheapMachine() {
         Cluster c = Samples.cluster(new Team("t", 0, 0, 0, 0, 1));
-        c.catalogue(List.of(new org.mountlug.core.model.MachineType("small", new Resources(16, 0, 64), 50, 0.1, 0.2, 0.1, 30,
-                List.of("a"))));
+        c.catalogue(List.of(new org.mountlug.core.model.MachineType(
+                "small", new Resources(16, 0, 64), 50, 0.1, 0.2, 0.1, 30, List.of("a"))));
         Samples.up(c, "n-1", "small", "a");
         Samples.up(c, "n-2", "gpu", "a");
         Samples.live(c, Samples.spec("wk-000001", true, 2, new Resources(18, 2, 77), Urgency.HIGH));
         Job j = service(c, 6);
         new Allocator(c, x -> 0, times(5), 5).round();
-        assertEquals(1, j.placed.values().stream().filter(p -> p.machine.equals("n-1")).count());
-        assertEquals(5, j.placed.values().stream().filter(p -> p.machine.equals("n-2")).count());
+        assertEquals(
+                1,
+                j.placed.values().stream().filter(p -> p.machine.equals("n-1")).count());
+        assertEquals(
+                5,
+                j.placed.values().stream().filter(p -> p.machine.equals("n-2")).count());
         c.machines.get("n-1").images.add("img");
         Job k = Samples.live(c, Samples.spec("wk-000010", Shape.SERVICE, 6, NEED, Urgency.PROD));
         k.seenS = 5;
         new Allocator(c, x -> 0, times(6), 6).round();
-        assertEquals(6, k.placed.values().stream().filter(p -> p.machine.equals("n-1")).count());
+        assertEquals(
+                6,
+                k.placed.values().stream().filter(p -> p.machine.equals("n-1")).count());
     }
 }
--- a/src/test/java/org/mountlug/core/ScalerTest.java
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -1,5 +1,12 @@
 package org.mountlug.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -14,14 +21,6 @@
 import org.mountlug.core.scale.Rental;
 import org.mountlug.core.scale.Scaler;
 
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /** What is rented and returned. */
 class ScalerTest {
     private static final double KEEP = 20;
@@ -32,10 +31,12 @@
     void workThatWaitsRentsTheCheapestKindAndNamesNeverRepeat() {
         Samples.live(c, Samples.array("wk-000001", 4));
         Set<String> names = new HashSet<>();
-        for (int n = 0; n < 3; n++) for (Rental r : s.rentals(n, 0)) {
-            assertEquals("small", r.type());
-            assertTrue(r.spot());
-            assertTrue(names.add(r.name()));
+        for (int n = 0; n < 3; n++) {
+            for (Rental r : s.rentals(n, 0)) {
+                assertEquals("small", r.type());
+                assertTrue(r.spot());
+                assertTrue(names.add(r.name()));
+            }
         }
         assertFalse(names.isEmpty());
     }
@@ -44,7 +45,11 @@
     void machinesThatBootAreCountedOn() {
         Samples.live(c, Samples.array("wk-000001", 4));
         int n = 0;
-        for (Rental r : s.rentals(0, 0)) for (int i = 0; i < r.count(); i++) c.rented("n-" + n++, r.type(), r.zone(), r.spot(), 0);
+        for (Rental r : s.rentals(0, 0)) {
+            for (int i = 0; i < r.count(); i++) {
+                c.rented("n-" + n++, r.type(), r.zone(), r.spot(), 0);
+            }
+        }
         assertTrue(n > 0);
         assertEquals(List.of(), s.rentals(1, 1));
     }
@@ -82,13 +87,21 @@
 
     @Test
     void oneSilentMachineIsReturnedButNotWhenMostAreSilent() {
-        for (int i = 0; i < 5; i++) Samples.up(c, "n-" + i, "small", "a");
+        for (int i = 0; i < 5; i++) {
+            Samples.up(c, "n-" + i, "small", "a");
+        }
         Job j = Samples.live(c, Samples.array("wk-000001", 5));
         int t = 0;
-        for (Machine m : c.machines.values()) c.place(j, t++, 1, m, 0);
-        for (Machine m : c.machines.values()) m.heardS = m.name.equals("n-3") ? 0 : 30;
+        for (Machine m : c.machines.values()) {
+            c.place(j, t++, 1, m, 0);
+        }
+        for (Machine m : c.machines.values()) {
+            m.heardS = m.name.equals("n-3") ? 0 : 30;
+        }
         assertEquals(List.of("n-3"), s.returns(30, 0));
-        for (Machine m : c.machines.values()) m.heardS = 0;
+        for (Machine m : c.machines.values()) {
+            m.heardS = 0;
+        }
         c.machines.get("n-3").releasing = false;
         assertEquals(List.of(), s.returns(31, 0));
     }
@@ -97,7 +110,9 @@
     @ParameterizedTest(name = "gang of {0}, machines up {1}: rents {2}")
     @CsvSource({"7, 0, 2", "7, 1, 1", "8, 2, 0", "3, 1, 0"})
     void aGangIsRentedForAsAWhole(int tasks, int up, int rented) {
-        for (int i = 0; i < up; i++) Samples.up(c, "n-" + i, "small", "a");
+        for (int i = 0; i < up; i++) {
+            Samples.up(c, "n-" + i, "small", "a");
+        }
         Samples.live(c, Samples.spec("wk-000001", true, tasks, new Resources(1, 0, 2), Urgency.HIGH));
         assertEquals(rented, s.rentals(1, 0).stream().mapToInt(Rental::count).sum());
     }
@@ -115,7 +130,9 @@
     /** Its reports go on coming, so silence does not show it. */
     @Test
     void aMachineThatHearsNothingIsReturnedUnlessMostSeemSo() {
-        for (int i = 0; i < 5; i++) Samples.up(c, "n-" + i, "small", "a");
+        for (int i = 0; i < 5; i++) {
+            Samples.up(c, "n-" + i, "small", "a");
+        }
         Job j = Samples.live(c, Samples.array("wk-000001", 5));
         int t = 0;
         for (Machine m : c.machines.values()) {
@@ -127,24 +144,37 @@
         c.machines.get("n-3").unheardSinceS = 15;
         assertEquals(List.of("n-3"), s.returns(50, 0));
         c.machines.get("n-3").releasing = false;
-        for (Machine m : c.machines.values()) m.unheardSinceS = 15;
+        for (Machine m : c.machines.values()) {
+            m.unheardSinceS = 15;
+        }
         assertEquals(List.of(), s.returns(50, 0));
     }
 
     /** Five machines of zone a and two of zone b; so many of a have been silent for so long. */
     @ParameterizedTest(name = "{0} silent for {1} s, listed {2}, then unlisted {3}: returned {4}")
-    @CsvSource({"1, 17, false, false, 1", "1, 17, true, false, 0", "1, 45, true, false, 1", "1, 7, true, true, 1",
-            "3, 45, true, false, 0", "3, 170, true, false, 3", "3, 7, true, true, 3"})
-    void silentMachinesAreWaitedForWhileTheCloudStillListsThem(int silent, double forS, boolean listed, boolean unlisted,
-                                                               int returned) {
-        for (int i = 0; i < 7; i++) Samples.up(c, "n-" + i, "small", i < 5 ? "a" : "b");
+    @CsvSource({
+        "1, 17, false, false, 1",
+        "1, 17, true, false, 0",
+        "1, 45, true, false, 1",
+        "1, 7, true, true, 1",
+        "3, 45, true, false, 0",
+        "3, 170, true, false, 3",
+        "3, 7, true, true, 3"
+    })
+    void silentMachinesAreWaitedForWhileTheCloudStillListsThem(
+            int silent, double forS, boolean listed, boolean unlisted, int returned) {
+        for (int i = 0; i < 7; i++) {
+            Samples.up(c, "n-" + i, "small", i < 5 ? "a" : "b");
+        }
         Job j = Samples.live(c, Samples.array("wk-000001", 7));
         int t = 0;
         for (Machine m : c.machines.values()) {
             c.place(j, t++, 1, m, 0);
             boolean is = Integer.parseInt(m.name.substring(2)) < silent;
             m.heardS = is ? 0 : forS;
-            if (is && listed) m.listedS = 0;
+            if (is && listed) {
+                m.listedS = 0;
+            }
             m.unlisted = is && unlisted;
         }
         assertEquals(returned, s.returns(forS, 0).size());
@@ -152,7 +182,9 @@
 
     @Test
     void nothingIsRentedInAZoneThatIsSilentAsAWhole() {
-        for (int i = 0; i < 3; i++) Samples.up(c, "n-" + i, "small", "a").heardS = -50;
+        for (int i = 0; i < 3; i++) {
+            Samples.up(c, "n-" + i, "small", "a").heardS = -50;
+        }
         Samples.live(c, Samples.array("wk-000001", 6));
         List<Rental> l = s.rentals(0, 0);
         assertFalse(l.isEmpty());
--- a/src/test/java/org/mountlug/node/LiveRecordsTest.java
+++ b/src/test/java/org/mountlug/node/LiveRecordsTest.java
@@ -1,13 +1,7 @@
 package org.mountlug.node;
 
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.mountlug.core.model.Job;
-import org.mountlug.core.model.Reservation;
-import org.mountlug.store.StateClient;
-import org.mountlug.wire.Calls;
-import org.mountlug.wire.Http;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -17,9 +11,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Reservation;
+import org.mountlug.store.StateClient;
+import org.mountlug.wire.Calls;
+import org.mountlug.wire.Http;
 
 /** Up to when every cancellation that a user was told of is known, as answers come late, in any state of the loading. */
 class LiveRecordsTest {
@@ -31,48 +30,56 @@
     private final Set<String> jobs = new HashSet<>();
     private final List<String> cancelled = new ArrayList<>();
     private final Calls calls = (method, path, body, ms, then) -> requests.add(new Request(path, then));
-    private final LiveRecords records = new LiveRecords(new StateClient(calls, calls, () -> now, 100, 1), () -> now,
-            (r, ms) -> later.add(r), new LiveRecords.Term() {
-        @Override
-        public boolean knows(String id) {
-            return jobs.contains(id);
-        }
-
-        @Override
-        public void adopt(Job j, double nowS) {
-            jobs.add(j.spec.id());
-        }
-
-        @Override
-        public void changed(String id, Map<String, Object> v, long stamp, double nowS) {
-            if (v.containsKey("x")) cancelled(id);
-        }
-
-        @Override
-        public void orphan(String key) {}
-
-        @Override
-        public void reservations(Map<String, List<Reservation>> byJob, Map<String, Long> stamps) {}
-
-        @Override
-        public void images(Map<String, Object> v) {}
-
-        @Override
-        public void loaded() {}
-
-        @Override
-        public void cancelled(String id) {
-            if (!cancelled.contains(id)) cancelled.add(id);
-        }
-
-        @Override
-        public boolean ended() {
-            return false;
-        }
-    });
+    private final LiveRecords records = new LiveRecords(
+            new StateClient(calls, calls, () -> now, 100, 1),
+            () -> now,
+            (r, ms) -> later.add(r),
+            new LiveRecords.Term() {
+                @Override
+                public boolean knows(String id) {
+                    return jobs.contains(id);
+                }
+
+                @Override
+                public void adopt(Job j, double nowS) {
+                    jobs.add(j.spec.id());
+                }
+
+                @Override
+                public void changed(String id, Map<String, Object> v, long stamp, double nowS) {
+                    if (v.containsKey("x")) {
+                        cancelled(id);
+                    }
+                }
+
+                @Override
+                public void orphan(String key) {}
+
+                @Override
+                public void reservations(Map<String, List<Reservation>> byJob, Map<String, Long> stamps) {}
+
+                @Override
+                public void images(Map<String, Object> v) {}
+
+                @Override
+                public void loaded() {}
+
+                @Override
+                public void cancelled(String id) {
+                    if (!cancelled.contains(id)) {
+                        cancelled.add(id);
+                    }
+                }
+
+                @Override
+                public boolean ended() {
+                    return false;
+                }
+            });
 
     private static Map<String, Object> row(String id) {
-        Map<String, Object> spec = new HashMap<>(Map.of("l", "l", "t", "t", "g", false, "u", 1, "n", 1, "c", 1.0, "i", "i", "e", 5.0));
+        Map<String, Object> spec =
+                new HashMap<>(Map.of("l", "l", "t", "t", "g", false, "u", 1, "n", 1, "c", 1.0, "i", "i", "e", 5.0));
         return Map.of("k", "j/" + id, "v", Map.of("s", spec, "w", ""), "stamp", 5L);
     }
 
@@ -93,14 +100,21 @@
     /** Reads everything, up to the opening of the first watch; a notice comes after so many answers. */
     private void load(int noticeAfter) {
         records.start();
-        List<Map<String, Object>> answers = List.of(Map.of("rows", List.of(row("wk-000001")), "epoch", 9L), Map.of("rows", List.of()),
-                Map.of("rows", List.of()), Map.of());
+        List<Map<String, Object>> answers = List.of(
+                Map.of("rows", List.of(row("wk-000001")), "epoch", 9L),
+                Map.of("rows", List.of()),
+                Map.of("rows", List.of()),
+                Map.of());
         for (int i = 0; i < answers.size(); i++) {
-            if (noticeAfter == i) records.abortTold("wk-000001");
+            if (noticeAfter == i) {
+                records.abortTold("wk-000001");
+            }
             assertEquals(Double.NEGATIVE_INFINITY, records.knownUntilS(), "nothing is known while records are read");
             answer(1, i == 3 ? 404 : 200, answers.get(i));
         }
-        if (noticeAfter == answers.size()) records.abortTold("wk-000001");
+        if (noticeAfter == answers.size()) {
+            records.abortTold("wk-000001");
+        }
     }
 
     @ParameterizedTest(name = "after {0} answers")
@@ -116,7 +130,10 @@
         records.abortTold("wk-000002");
         assertEquals(List.of(), cancelled);
         Map<String, Object> r = row("wk-000002");
-        answer(1, 200, Map.of("epoch", 11L, "news", List.of(Map.of("put", "j/wk-000002", "v", r.get("v"), "stamp", 11L))));
+        answer(
+                1,
+                200,
+                Map.of("epoch", 11L, "news", List.of(Map.of("put", "j/wk-000002", "v", r.get("v"), "stamp", 11L))));
         assertEquals(List.of("wk-000002"), cancelled);
     }
 
@@ -125,9 +142,14 @@
     @CsvSource({"-1, 0", "1, 1"})
     void noticesOfJobsThatAreOverAreForgottenOnceAWatchShowsNothingOfThem(double afterS, int kept) {
         load(-1);
-        if (afterS > 0) now += afterS;
-        else now -= 1; // the last answer of the loading and the opening of the watch are one moment
-        for (int i = 0; i < 50; i++) records.abortTold("wk-000077");
+        if (afterS > 0) {
+            now += afterS;
+        } else {
+            now -= 1; // the last answer of the loading and the opening of the watch are one moment
+        }
+        for (int i = 0; i < 50; i++) {
+            records.abortTold("wk-000077");
+        }
         assertEquals(1, records.noticesKept());
         answer(3, 200, Map.of("epoch", 20L, "news", List.of()));
         assertEquals(kept, records.noticesKept());
@@ -135,8 +157,16 @@
 
     /** What was read first was asked for at 100 s; the watch is opened at 104 s. */
     @ParameterizedTest(name = "{0}: known until {1} s")
-    @CsvSource({"loaded, 100", "watch answered late, 104", "watch refused, 100", "watch unanswered, 100", "410, 100",
-            "410 and read again, 100", "peers, 120", "peers behind, 100"})
+    @CsvSource({
+        "loaded, 100",
+        "watch answered late, 104",
+        "watch refused, 100",
+        "watch unanswered, 100",
+        "410, 100",
+        "410 and read again, 100",
+        "peers, 120",
+        "peers behind, 100"
+    })
     void whatIsKnownIsNeverNewerThanWhatWasAskedFor(String what, double until) {
         load(-1);
         assertTrue(requests.peek().path().startsWith("/watch"));
@@ -153,7 +183,7 @@
             }
             case "peers" -> records.knownByPeers(120);
             case "peers behind" -> records.knownByPeers(90);
-            default -> { }
+            default -> {}
         }
         assertEquals(until, records.knownUntilS());
     }
