--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -1,5 +1,13 @@
 package org.mountlug.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -7,15 +15,6 @@
 import org.mountlug.core.model.Report;
 import org.mountlug.core.model.Team;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /**
  * Two troubles that overlap, at several offsets; {@code docs/faults.md} has a row for each. The world checks the rules,
  * that no answer is older than one sent before, and after the last fault that everything accepted goes on; a case also
@@ -27,11 +26,15 @@
     }
 
     private static World.Node other(World w, World.Node not) {
-        return w.nodes.stream().filter(n -> n != not && n.up && n.frozenUntil <= w.now).findFirst().orElseThrow();
+        return w.nodes.stream()
+                .filter(n -> n != not && n.up && n.frozenUntil <= w.now)
+                .findFirst()
+                .orElseThrow();
     }
 
     private static boolean allStarted(World w, int tasks) {
-        return w.until(90, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= tasks);
+        return w.until(
+                90, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= tasks);
     }
 
     private static void end(World w, double mostS) {
@@ -40,7 +43,10 @@
     }
 
     private static long on(World w, String id) {
-        return w.workers.values().stream().flatMap(k -> k.held().stream()).filter(t -> t.job.equals(id)).count();
+        return w.workers.values().stream()
+                .flatMap(k -> k.held().stream())
+                .filter(t -> t.job.equals(id))
+                .count();
     }
 
     private static void submit(World w, int n, String shape, int tasks) {
@@ -52,10 +58,20 @@
      * out for everybody for longer than a cancellation has. Who tells it first need not be who made it durable.
      */
     @ParameterizedTest(name = "{0}, told by {1}, {2} s after the refusal, outage {3} s after")
-    @CsvSource({"array, abort, 0.05, 0.5", "array, abort, 1, 0.1", "gang, abort, 1.5, 0.02", "service, abort, 1.5, 0.5",
-            "array, poll, 0.3, 0.5", "gang, poll, 1.2, 0.1", "service, poll, 0.3, 0.5", "array, submission, 0.3, 0.5",
-            "gang, submission, 1.2, 0.1", "array, second abort, 0.3, 0.5", "service, second abort, 1.2, 0.1",
-            "array, third node, 0.8, 0.2"})
+    @CsvSource({
+        "array, abort, 0.05, 0.5",
+        "array, abort, 1, 0.1",
+        "gang, abort, 1.5, 0.02",
+        "service, abort, 1.5, 0.5",
+        "array, poll, 0.3, 0.5",
+        "gang, poll, 1.2, 0.1",
+        "service, poll, 0.3, 0.5",
+        "array, submission, 0.3, 0.5",
+        "gang, submission, 1.2, 0.1",
+        "array, second abort, 0.3, 0.5",
+        "service, second abort, 1.2, 0.1",
+        "array, third node, 0.8, 0.2"
+    })
     void whatIsToldWhileTheLeaderIsRefusedHoldsThroughAnOutage(String shape, String by, double afterS, double outageS) {
         World w = new World(3);
         w.runS = 200;
@@ -64,7 +80,8 @@
         w.run(4);
         World.Node old = w.leader();
         World.Node first = other(w, old);
-        World.Node second = w.nodes.stream().filter(n -> n != old && n != first).findFirst().orElseThrow();
+        World.Node second =
+                w.nodes.stream().filter(n -> n != old && n != first).findFirst().orElseThrow();
         old.link = StateStandIn.Link.REFUSED;
         w.run(afterS);
         if (by.equals("abort")) {
@@ -77,16 +94,18 @@
             assertEquals(1, w.state.unheard);
             first.link = StateStandIn.Link.GOOD;
             World.Node teller = by.equals("third node") ? second : first;
-            Map<String, Object> a = switch (by) {
-                case "poll", "third node" -> teller.poll(id(1));
-                case "submission" -> {
-                    Map<String, Object>[] got = new Map[1];
-                    teller.askLater("submission", id(1), r -> teller.users.submit(w.body(id(1)), r), m -> got[0] = m);
-                    w.until(5, () -> got[0] != null);
-                    yield got[0];
-                }
-                default -> teller.abort(id(1));
-            };
+            Map<String, Object> a =
+                    switch (by) {
+                        case "poll", "third node" -> teller.poll(id(1));
+                        case "submission" -> {
+                            Map<String, Object>[] got = new Map[1];
+                            teller.askLater(
+                                    "submission", id(1), r -> teller.users.submit(w.body(id(1)), r), m -> got[0] = m);
+                            w.until(5, () -> got[0] != null);
+                            yield got[0];
+                        }
+                        default -> teller.abort(id(1));
+                    };
             assertEquals("withdrawn", a.get("status"));
         }
         w.run(outageS);
@@ -104,30 +123,46 @@
 
     /** The same while a node that told of cancellations comes back within a fraction of a second, or cannot be asked. */
     @ParameterizedTest(name = "the teller {0}")
-    @ValueSource(strings = {"is back in 0.2 s", "is back in 0.2 s and was never asked", "is cut from its peers", "told of 600 jobs"})
+    @ValueSource(
+            strings = {
+                "is back in 0.2 s",
+                "is back in 0.2 s and was never asked",
+                "is cut from its peers",
+                "told of 600 jobs"
+            })
     void knowledgeOfCancellationsStopsWithTheWordOfWhoTold(String what) {
         World w = new World(3);
         w.capacity = 150;
         w.runS = 200;
         w.accept(id(1), 8, false);
         int many = what.startsWith("told of") ? 600 : 0;
-        for (int i = 0; i < many; i++) w.accept(id(1000 + i), 1, false, Map.of("vcpus", 0.1, "ramGb", 0.1));
+        for (int i = 0; i < many; i++) {
+            w.accept(id(1000 + i), 1, false, Map.of("vcpus", 0.1, "ramGb", 0.1));
+        }
         assertTrue(allStarted(w, 8 + many));
         w.run(4);
         World.Node old = w.leader();
         World.Node teller = other(w, old);
         old.link = StateStandIn.Link.REFUSED;
         w.run(0.3);
-        if (!what.startsWith("is back in 0.2 s and")) w.run(0.4);
-        if (what.equals("is cut from its peers")) teller.cutFromPeers = true;
+        if (!what.startsWith("is back in 0.2 s and")) {
+            w.run(0.4);
+        }
+        if (what.equals("is cut from its peers")) {
+            teller.cutFromPeers = true;
+        }
         for (int i = 0; i < many; i++) {
             String j = id(1000 + i);
             teller.askLater("abort", j, r -> teller.users.abort(j, r), null);
-            if (i % 25 == 24) w.run(0.05);
+            if (i % 25 == 24) {
+                w.run(0.05);
+            }
         }
         assertEquals("withdrawn", teller.abort(id(1)).get("status"));
         w.run(0.01);
-        if (what.startsWith("is back")) teller.restartAfter(0.2);
+        if (what.startsWith("is back")) {
+            teller.restartAfter(0.2);
+        }
         w.state.outage = true;
         w.run(World.CANCEL_S + 1);
         assertEquals(0, on(w, id(1)), "gone in time");
@@ -144,38 +179,63 @@
      * by others, must not be kept alive by its answers.
      */
     @ParameterizedTest(name = "refused {0} s into the term, cancelled {1} s after that, for {2} s, the last leader {3}")
-    @CsvSource({"0.003, -2, 45, ended", "0.003, 0.6, 45, ended", "0.008, -2, 45, ended", "0.008, 0.6, 45, ended", "0.014, 0.6, 45, ended",
-            "0.014, 5, 45, ended", "0.02, -2, 45, ended", "0.02, 0.6, 60, ended", "0.05, 0.6, 45, ended", "0.3, 5, 45, ended",
-            "0.003, -2, 45, stands still", "0.008, -2, 45, stands still", "0.014, -2, 60, stands still"})
+    @CsvSource({
+        "0.003, -2, 45, ended",
+        "0.003, 0.6, 45, ended",
+        "0.008, -2, 45, ended",
+        "0.008, 0.6, 45, ended",
+        "0.014, 0.6, 45, ended",
+        "0.014, 5, 45, ended",
+        "0.02, -2, 45, ended",
+        "0.02, 0.6, 60, ended",
+        "0.05, 0.6, 45, ended",
+        "0.3, 5, 45, ended",
+        "0.003, -2, 45, stands still",
+        "0.008, -2, 45, stands still",
+        "0.014, -2, 60, stands still"
+    })
     void aNoticeThatComesWhileALeaderLoadsIsNotLost(double intoS, double cancelS, double forS, String last) {
         World w = new World(3);
         w.runS = 300;
         w.accept(id(1), 8, false);
-        for (int i = 2; i < 9; i++) w.accept(id(i), 1, false); // more than a page of records
+        for (int i = 2; i < 9; i++) {
+            w.accept(id(i), 1, false); // more than a page of records
+        }
         assertTrue(allStarted(w, 15));
         w.run(4);
         World.Node before = w.leader();
         boolean[] began = new boolean[1];
         w.onLead.add(n -> {
-            if (n == before || began[0]) return;
+            if (n == before || began[0]) {
+                return;
+            }
             began[0] = true;
             w.in(intoS, () -> n.link = StateStandIn.Link.REFUSED);
         });
-        if (last.equals("ended")) before.kill();
-        else before.freeze(90);
-        if (cancelS < 0) assertEquals("withdrawn", other(w, before).abort(id(1)).get("status"));
+        if (last.equals("ended")) {
+            before.kill();
+        } else {
+            before.freeze(90);
+        }
+        if (cancelS < 0) {
+            assertEquals("withdrawn", other(w, before).abort(id(1)).get("status"));
+        }
         assertTrue(w.until(20, () -> began[0]));
         World.Node now = w.leader();
         w.run(Math.max(0, cancelS));
         World.Node teller = other(w, now);
-        if (cancelS >= 0) assertEquals("withdrawn", teller.abort(id(1)).get("status"));
+        if (cancelS >= 0) {
+            assertEquals("withdrawn", teller.abort(id(1)).get("status"));
+        }
         w.run(0.1);
         w.state.outage = true;
         w.run(forS);
         assertEquals(0, on(w, id(1)), "gone in time");
         w.state.recover();
         now.link = StateStandIn.Link.GOOD;
-        if (last.equals("ended")) before.boot();
+        if (last.equals("ended")) {
+            before.boot();
+        }
         w.runS = 5;
         end(w, 200);
     }
@@ -195,13 +255,17 @@
         w.run(2.2);
         assertEquals("withdrawn", other(w, old).abort(id(1)).get("status"));
         w.state.outage = true;
-        for (World.Worker k : w.workers.values()) k.mute = true;
+        for (World.Worker k : w.workers.values()) {
+            k.mute = true;
+        }
         w.run(3); // by now the leader cannot prove that it leads
         old.cutFromPeers = false;
         w.run(2.5);
         assertTrue(old.controller.leads());
         assertEquals(0, on(w, id(1)), "stopped straight, well before their leases run out");
-        for (World.Worker k : w.workers.values()) k.mute = false;
+        for (World.Worker k : w.workers.values()) {
+            k.mute = false;
+        }
         w.state.recover();
         old.link = StateStandIn.Link.GOOD;
         end(w, 100);
@@ -212,9 +276,22 @@
      * cancelled: no node answers anything older. The checks of the world do the judging.
      */
     @ParameterizedTest(name = "{0}, with {1}")
-    @CsvSource({"accepted, nothing", "accepted, lost answers", "accepted, late writes", "accepted, new leader", "cancelled, nothing",
-            "cancelled, lost answers", "cancelled, late writes", "cancelled, new leader", "cancelled, refused", "ended, nothing",
-            "ended, lost answers", "ended, late writes", "ended, new leader", "ended, refused"})
+    @CsvSource({
+        "accepted, nothing",
+        "accepted, lost answers",
+        "accepted, late writes",
+        "accepted, new leader",
+        "cancelled, nothing",
+        "cancelled, lost answers",
+        "cancelled, late writes",
+        "cancelled, new leader",
+        "cancelled, refused",
+        "ended, nothing",
+        "ended, lost answers",
+        "ended, late writes",
+        "ended, new leader",
+        "ended, refused"
+    })
     void noNodeAnswersAnythingOlder(String after, String with) {
         World w = new World(3);
         w.runS = 3;
@@ -223,7 +300,8 @@
         int[] looks = new int[1];
         boolean[] on = {true};
         for (World.Node n : w.nodes) {
-            n.link = with.equals("lost answers") ? StateStandIn.Link.UNHEARD
+            n.link = with.equals("lost answers")
+                    ? StateStandIn.Link.UNHEARD
                     : with.equals("late writes") ? StateStandIn.Link.LATE : StateStandIn.Link.GOOD;
         }
         for (int k = 0; k < 6; k++) {
@@ -234,28 +312,49 @@
             for (int q = 0; q < 500; q++) {
                 int turn = q;
                 w.in(k * 1.7 + 0.004 + q * 0.023, () -> {
-                    if (!on[0]) return;
+                    if (!on[0]) {
+                        return;
+                    }
                     World.Node n = w.nodes.get(turn % 3);
-                    if (turn % 7 == 3) n.repeat(id);
-                    else n.askLater("poll", id, r -> n.users.poll(id, r), null);
+                    if (turn % 7 == 3) {
+                        n.repeat(id);
+                    } else {
+                        n.askLater("poll", id, r -> n.users.poll(id, r), null);
+                    }
                     looks[0]++;
                 });
             }
-            if (cancel) w.in(k * 1.7 + (after.equals("cancelled") ? 0.01 + k * 0.4 : 4.4), () -> {
-                for (World.Node n : w.nodes) n.askLater("abort", id, r -> n.users.abort(id, r), null);
+            if (cancel) {
+                w.in(k * 1.7 + (after.equals("cancelled") ? 0.01 + k * 0.4 : 4.4), () -> {
+                    for (World.Node n : w.nodes) {
+                        n.askLater("abort", id, r -> n.users.abort(id, r), null);
+                    }
+                });
+            }
+        }
+        if (with.equals("new leader")) {
+            for (double t : new double[] {2, 6.2}) {
+                w.in(t, () -> w.leader().restartAfter(0.2));
+            }
+        }
+        if (with.equals("refused")) {
+            w.in(4, () -> {
+                World.Node l = w.leader();
+                l.link = StateStandIn.Link.REFUSED;
+                w.in(7, () -> l.link = StateStandIn.Link.GOOD);
             });
         }
-        if (with.equals("new leader")) for (double t : new double[] {2, 6.2}) w.in(t, () -> w.leader().restartAfter(0.2));
-        if (with.equals("refused")) w.in(4, () -> {
-            World.Node l = w.leader();
-            l.link = StateStandIn.Link.REFUSED;
-            w.in(7, () -> l.link = StateStandIn.Link.GOOD);
-        });
         w.run(22);
         on[0] = false;
-        if (with.equals("lost answers")) assertTrue(w.state.unheard > 5, "answers were lost");
-        if (with.equals("late writes")) assertTrue(w.state.lateSucceeded > 2, "late ones were carried out");
-        for (World.Node n : w.nodes) n.link = StateStandIn.Link.GOOD;
+        if (with.equals("lost answers")) {
+            assertTrue(w.state.unheard > 5, "answers were lost");
+        }
+        if (with.equals("late writes")) {
+            assertTrue(w.state.lateSucceeded > 2, "late ones were carried out");
+        }
+        for (World.Node n : w.nodes) {
+            n.link = StateStandIn.Link.GOOD;
+        }
         assertTrue(looks[0] > 2500);
         end(w, 120);
         assertTrue(w.accepted().size() > 3, "some were accepted meanwhile");
@@ -266,7 +365,16 @@
      * leader finishes the job: what it then takes for the outcome must be what was told.
      */
     @ParameterizedTest(name = "cut off {0} s after its write left, back {1} s after the other has finished")
-    @CsvSource({"0.002, 0", "0.002, 0.05", "0.002, 0.1", "0.002, 0.15", "0.002, 0.2", "0.002, 0.25", "0.002, 0.3", "0.02, 0.1"})
+    @CsvSource({
+        "0.002, 0",
+        "0.002, 0.05",
+        "0.002, 0.1",
+        "0.002, 0.15",
+        "0.002, 0.2",
+        "0.002, 0.25",
+        "0.002, 0.3",
+        "0.02, 0.1"
+    })
     void aLeaderThatWasRefusedAmidItsLastWriteTellsTheOutcomeOfAnother(double beforeS, double backS) {
         World w = new World(3);
         w.runS = 6;
@@ -277,7 +385,9 @@
         boolean[] met = new boolean[1];
         // The moment of the write that ends the job: the abort is there first, and from then on the leader is refused.
         w.state.onMulti = (from, body) -> {
-            if (met[0] || from != old || !body.toString().contains("delete=j/" + id(1))) return;
+            if (met[0] || from != old || !body.toString().contains("delete=j/" + id(1))) {
+                return;
+            }
             met[0] = true;
             w.state.onMulti = null;
             Map<String, Object> v = new HashMap<>(org.mountlug.wire.Fields.map(w.state.value("j/" + id(1))));
@@ -290,13 +400,17 @@
             w.in(beforeS + 0.001, () -> teller.askLater("abort", id(1), r -> teller.users.abort(id(1), r), null));
         };
         assertTrue(w.until(30, () -> met[0]));
-        assertTrue(w.until(15, () -> w.leader() != old && w.state.value("f/" + id(1)) != null), "another leader finished it");
+        assertTrue(
+                w.until(15, () -> w.leader() != old && w.state.value("f/" + id(1)) != null),
+                "another leader finished it");
         // It reads what became of its write in the moment in which it still takes itself for the leader.
         w.run(backS);
         old.link = StateStandIn.Link.GOOD;
         for (int i = 0; i < 40; i++) {
             w.run(0.05);
-            for (World.Node n : w.nodes) n.askLater("poll", id(1), r -> n.users.poll(id(1), r), null);
+            for (World.Node n : w.nodes) {
+                n.askLater("poll", id(1), r -> n.users.poll(id(1), r), null);
+            }
         }
         old.cutFromPeers = old.cutFromWorkers = false;
         end(w, 60);
@@ -305,29 +419,54 @@
 
     /** Transactions lost on their way back or carried out late, out of order, while the leader changes and jobs end apart. */
     @ParameterizedTest(name = "{0}, {1} s late, the leader ends {2} s in, jobs of {3}")
-    @CsvSource({"UNHEARD, 0, 2, 3", "UNHEARD, 0, 0.6, 2", "LATE, 2, 1, 3", "LATE, 4, 1.2, 2", "LATE, 12, 3, 3", "LATE, 6, 0.3, 2",
-            "UNHEARD, 0, 99, 3", "LATE, 3, 99, 3", "LATE, 12, 99, 2"})
+    @CsvSource({
+        "UNHEARD, 0, 2, 3",
+        "UNHEARD, 0, 0.6, 2",
+        "LATE, 2, 1, 3",
+        "LATE, 4, 1.2, 2",
+        "LATE, 12, 3, 3",
+        "LATE, 6, 0.3, 2",
+        "UNHEARD, 0, 99, 3",
+        "LATE, 3, 99, 3",
+        "LATE, 12, 99, 2"
+    })
     void writesThatAreCarriedOutUnheardOrLate(StateStandIn.Link link, double lateS, double endsS, int tasks) {
         World w = new World(3);
         w.state.lateS = lateS;
         w.runS = 6;
         w.accept(id(90), 4, false);
         w.run(12);
-        for (int i = 1; i <= 6; i++) w.accept(id(i), tasks, i % 3 == 0);
+        for (int i = 1; i <= 6; i++) {
+            w.accept(id(i), tasks, i % 3 == 0);
+        }
         w.run(1.5);
         // Of a job of three, tasks end seconds apart: each on a machine of another speed.
         double[] slow = {1};
-        for (World.Worker k : w.workers.values()) k.slow = slow[0] += 0.6;
-        for (World.Node n : w.nodes) n.link = link;
+        for (World.Worker k : w.workers.values()) {
+            k.slow = slow[0] += 0.6;
+        }
+        for (World.Node n : w.nodes) {
+            n.link = link;
+        }
         World.Node old = w.leader();
         long token = old.token();
-        if (endsS < 90) w.in(endsS, () -> old.restartAfter(1.5));
-        w.in(1, () -> w.nodes.get(1).askLater("abort", id(4), r -> w.nodes.get(1).users.abort(id(4), r), null));
+        if (endsS < 90) {
+            w.in(endsS, () -> old.restartAfter(1.5));
+        }
+        w.in(
+                1,
+                () -> w.nodes
+                        .get(1)
+                        .askLater("abort", id(4), r -> w.nodes.get(1).users.abort(id(4), r), null));
         w.run(9);
-        for (World.Node n : w.nodes) n.link = StateStandIn.Link.GOOD;
+        for (World.Node n : w.nodes) {
+            n.link = StateStandIn.Link.GOOD;
+        }
         w.run(lateS);
         assertTrue(link == StateStandIn.Link.LATE ? w.state.lateCarriedOut > 1 : w.state.unheard > 0);
-        if (endsS >= 90) assertEquals(token, w.leader().token(), "nobody takes its own late write for another leader's");
+        if (endsS >= 90) {
+            assertEquals(token, w.leader().token(), "nobody takes its own late write for another leader's");
+        }
         end(w, 150);
     }
 
@@ -343,13 +482,17 @@
         w.run(3);
         World.Node old = w.leader();
         w.state.onMulti = (from, body) -> {
-            if (from == old && body.toString().contains("put=j/" + id(2))) old.link = StateStandIn.Link.SILENT;
+            if (from == old && body.toString().contains("put=j/" + id(2))) {
+                old.link = StateStandIn.Link.SILENT;
+            }
         };
         other(w, old).submit(id(2), 4, false, Map.of("dueS", 5.0));
         assertTrue(w.until(20, () -> old.link == StateStandIn.Link.SILENT), "it placed the job");
         w.state.onMulti = null;
         old.cutFromPeers = true;
-        for (World.Worker k : w.workers.values()) k.cut = true; // so that the next leader has not written the job yet
+        for (World.Worker k : w.workers.values()) {
+            k.cut = true; // so that the next leader has not written the job yet
+        }
         assertTrue(w.until(12, () -> w.leader() != old && w.leader() != null));
         w.run(intoS);
         assertTrue(!w.state.heldBack.isEmpty());
@@ -360,7 +503,9 @@
         assertEquals(before, w.state.value("j/" + id(2)));
         w.run(2);
         assertEquals(token, w.leader().token(), "nobody takes it for a newer leader's");
-        for (World.Worker k : w.workers.values()) k.cut = false;
+        for (World.Worker k : w.workers.values()) {
+            k.cut = false;
+        }
         old.link = StateStandIn.Link.GOOD;
         old.cutFromPeers = false;
         end(w, 200);
@@ -377,18 +522,24 @@
         w.run(3);
         List<Map<String, Object>> late = new ArrayList<>();
         w.state.onMulti = (from, body) -> {
-            if (late.isEmpty() && body.toString().contains("put=r/" + id(2))) late.add(body);
+            if (late.isEmpty() && body.toString().contains("put=r/" + id(2))) {
+                late.add(body);
+            }
         };
         w.accept(id(2), 12, true);
         // What makes room for it takes a while to be gone, and the room is held meanwhile.
-        for (World.Worker k : w.workers.values()) k.hangsUntil = w.now + 6;
+        for (World.Worker k : w.workers.values()) {
+            k.hangsUntil = w.now + 6;
+        }
         w.nodes.get(0).abort(id(1));
         assertTrue(w.until(20, () -> !w.state.keys("r/").isEmpty()), "room is reserved");
         Object before = w.state.value("r/" + id(2));
         assertTrue(w.until(120, () -> w.state.value("r/" + id(2)) == null && on(w, id(2)) == 12), "and used");
         assertNotNull(before);
         // Its first copy had no answer, was sent again, and is now carried out once more.
-        for (Map<String, Object> b : late) w.state.again(b);
+        for (Map<String, Object> b : late) {
+            w.state.again(b);
+        }
         assertEquals(List.of(), w.state.keys("r/"));
         end(w, 100);
     }
@@ -398,9 +549,18 @@
      * are carried out; the list does not show the machines yet.
      */
     @ParameterizedTest(name = "up in {0} s, writes {1} s late from {2} s, the leader ends at {3} s, {4}")
-    @CsvSource({"0.5, 2, 0, 1.4, array", "1, 2, 0.5, 2.2, gang", "1.5, 5, 1, 2, array", "2, 5, 1, 3, gang", "1, 12, 0.6, 4, array",
-            "1, 3, 0.8, 2.6, service", "0.5, 3, 0, 99, gang", "1, 3, 1, 5.9, array"})
-    void machinesUpAtOnceWhileWritesLagAndTheLeaderEnds(double bootS, double lateS, double fromS, double endsS, String shape) {
+    @CsvSource({
+        "0.5, 2, 0, 1.4, array",
+        "1, 2, 0.5, 2.2, gang",
+        "1.5, 5, 1, 2, array",
+        "2, 5, 1, 3, gang",
+        "1, 12, 0.6, 4, array",
+        "1, 3, 0.8, 2.6, service",
+        "0.5, 3, 0, 99, gang",
+        "1, 3, 1, 5.9, array"
+    })
+    void machinesUpAtOnceWhileWritesLagAndTheLeaderEnds(
+            double bootS, double lateS, double fromS, double endsS, String shape) {
         World w = new World(3);
         w.listLagS = 20;
         w.bootS = bootS;
@@ -412,7 +572,9 @@
         assertTrue(w.until(10, () -> !w.workers.isEmpty()), "rented");
         World.Node old = w.leader();
         w.in(fromS, () -> old.link = StateStandIn.Link.LATE);
-        if (endsS < 90) w.in(endsS, () -> old.restartAfter(0.3));
+        if (endsS < 90) {
+            w.in(endsS, () -> old.restartAfter(0.3));
+        }
         w.run(7);
         old.link = StateStandIn.Link.GOOD;
         w.run(lateS);
@@ -422,8 +584,17 @@
 
     /** Old reports, also of an earlier session or attempt, reach every controller just as a new leader begins, or once it has acted. */
     @ParameterizedTest(name = "{0} s after the term begins, of the last {1} reports, session ended {2}, {3}")
-    @CsvSource({"0, 1, false, array", "0, 40, false, array", "0.02, 40, true, gang", "0.5, 40, true, array", "3, 40, false, gang",
-            "3, 40, true, service", "14, 40, true, array", "30, 40, true, gang", "0, 40, true, service"})
+    @CsvSource({
+        "0, 1, false, array",
+        "0, 40, false, array",
+        "0.02, 40, true, gang",
+        "0.5, 40, true, array",
+        "3, 40, false, gang",
+        "3, 40, true, service",
+        "14, 40, true, array",
+        "30, 40, true, gang",
+        "0, 40, true, service"
+    })
     void oldReportsMeetANewLeader(double afterS, int last, boolean sessionEnded, String shape) {
         World w = new World(3);
         w.runS = 9;
@@ -433,17 +604,25 @@
         w.run(6);
         int[] copies = new int[1];
         List<Report> kept = new ArrayList<>();
-        for (World.Worker k : w.workers.values()) kept.addAll(k.sent.subList(Math.max(0, k.sent.size() - last), k.sent.size()));
+        for (World.Worker k : w.workers.values()) {
+            kept.addAll(k.sent.subList(Math.max(0, k.sent.size() - last), k.sent.size()));
+        }
         World.Node old = w.leader();
         w.onLead.add(n -> w.in(afterS, () -> {
-            for (World.Node x : w.nodes) for (Report r : kept) if (x.up) {
-                x.controller.beat(r);
-                copies[0]++;
+            for (World.Node x : w.nodes) {
+                for (Report r : kept) {
+                    if (x.up) {
+                        x.controller.beat(r);
+                        copies[0]++;
+                    }
+                }
             }
         }));
-        if (sessionEnded) for (World.Worker k : new ArrayList<>(w.workers.values())) {
-            k.cut = true;
-            w.in(11, () -> k.cut = false);
+        if (sessionEnded) {
+            for (World.Worker k : new ArrayList<>(w.workers.values())) {
+                k.cut = true;
+                w.in(11, () -> k.cut = false);
+            }
         }
         w.run(0.5);
         old.restartAfter(2);
@@ -476,59 +655,105 @@
         k.cut = true;
         w.in(3, () -> w.worker("a")); // room for its work as soon as it is taken for gone
         w.run(25);
-        assertTrue(w.workers.values().stream().anyMatch(x -> x != k && !x.held().isEmpty()), "its work went on elsewhere");
+        assertTrue(
+                w.workers.values().stream().anyMatch(x -> x != k && !x.held().isEmpty()), "its work went on elsewhere");
         k.cut = false;
         k.reportLateS = 0;
         w.capacity = 12;
         w.runS = 5;
-        if (shape.equals("service")) for (int i = 1; i <= 3; i++) w.nodes.get(0).abort(id(i));
+        if (shape.equals("service")) {
+            for (int i = 1; i <= 3; i++) {
+                w.nodes.get(0).abort(id(i));
+            }
+        }
         end(w, 150);
     }
 
     /** Teams at their limit, machines of theirs cut off or hung, jobs cancelled meanwhile, and the leader changes. */
     @ParameterizedTest(name = "{0} for {1} s, the leader ends {2} s after the cancellations, {3}")
-    @CsvSource({"cut, 6, 0.3, array", "cut, 14, 0.3, gang", "cut, 14, -1, array", "cut, 40, 0.3, service", "hang, 6, 0.3, array",
-            "hang, 9, -1, gang", "hang, 9, 2, service", "hang, 14, 0.3, gang", "mute, 14, 0.3, array", "deaf, 14, 0.3, array",
-            "cut, 8, 5, gang"})
+    @CsvSource({
+        "cut, 6, 0.3, array",
+        "cut, 14, 0.3, gang",
+        "cut, 14, -1, array",
+        "cut, 40, 0.3, service",
+        "hang, 6, 0.3, array",
+        "hang, 9, -1, gang",
+        "hang, 9, 2, service",
+        "hang, 14, 0.3, gang",
+        "mute, 14, 0.3, array",
+        "deaf, 14, 0.3, array",
+        "cut, 8, 5, gang"
+    })
     void aTeamAtItsLimitWhileCancelledTasksCannotBeAsked(String how, double forS, double endsS, String shape) {
         World w = new World(3, List.of(new Team("t", 0, 24, 0, 0, 1), new Team("u", 0, 12, 0, 0, 1)));
         w.runS = 150;
-        for (int i = 1; i <= 3; i++) submit(w, i, shape, 8);
-        for (int i = 11; i <= 13; i++) w.accept(id(i), 4, false, Map.of("crew", "u"));
+        for (int i = 1; i <= 3; i++) {
+            submit(w, i, shape, 8);
+        }
+        for (int i = 11; i <= 13; i++) {
+            w.accept(id(i), 4, false, Map.of("crew", "u"));
+        }
         assertTrue(w.until(90, () -> w.used("t") >= 24 && w.used("u") >= 12), "both teams are at their limits");
-        for (int i = 4; i <= 6; i++) submit(w, i, shape, 8);
-        for (int i = 14; i <= 16; i++) w.accept(id(i), 4, false, Map.of("crew", "u"));
+        for (int i = 4; i <= 6; i++) {
+            submit(w, i, shape, 8);
+        }
+        for (int i = 14; i <= 16; i++) {
+            w.accept(id(i), 4, false, Map.of("crew", "u"));
+        }
         w.run(3);
         List<World.Worker> lost = new ArrayList<>(w.workers.values()).subList(0, w.workers.size() / 2 + 1);
         World.Node old = w.leader();
-        if (endsS < 0) old.restartAfter(1);
+        if (endsS < 0) {
+            old.restartAfter(1);
+        }
         for (World.Worker k : lost) {
             k.cut = how.equals("cut");
             k.mute = how.equals("mute");
             k.deaf = how.equals("deaf");
-            if (how.equals("hang")) k.hangsUntil = w.now + forS;
+            if (how.equals("hang")) {
+                k.hangsUntil = w.now + forS;
+            }
             w.in(forS, () -> k.cut = k.mute = k.deaf = false);
         }
         w.run(0.2);
         assertTrue(w.used("t") >= 24 - 1e-6, "still at its limit");
         World.Node teller = w.nodes.stream().filter(n -> n != old).findFirst().orElseThrow();
-        for (int i : new int[] {1, 2, 11}) teller.abort(id(i));
-        if (endsS >= 0) w.in(endsS, () -> old.restartAfter(1));
+        for (int i : new int[] {1, 2, 11}) {
+            teller.abort(id(i));
+        }
+        if (endsS >= 0) {
+            w.in(endsS, () -> old.restartAfter(1));
+        }
         w.run(forS + 5);
         assertTrue(w.cancelledAt.containsKey(id(1)));
         w.runS = 5;
-        for (int i = 1; i <= 6; i++) if (shape.equals("service") && i > 2) w.nodes.get(0).abort(id(i));
+        for (int i = 1; i <= 6; i++) {
+            if (shape.equals("service") && i > 2) {
+                w.nodes.get(0).abort(id(i));
+            }
+        }
         end(w, 200);
         assertTrue(w.fullest > 0.99);
     }
 
     /** Jobs are cancelled in the seconds in which the work of one controller changes hands; controllers hand over and back. */
     @ParameterizedTest(name = "{0} s around the hand-over, {1}")
-    @CsvSource({"-0.5, array", "-0.01, gang", "0.01, array", "0.2, service", "0.5, gang", "1, array", "2, array", "4, gang"})
+    @CsvSource({
+        "-0.5, array",
+        "-0.01, gang",
+        "0.01, array",
+        "0.2, service",
+        "0.5, gang",
+        "1, array",
+        "2, array",
+        "4, gang"
+    })
     void cancellationsAmidAHandOver(double atS, String shape) {
         World w = new World(5);
         w.runS = 120;
-        for (int i = 1; i <= 4; i++) submit(w, i, shape, 4);
+        for (int i = 1; i <= 4; i++) {
+            submit(w, i, shape, 4);
+        }
         assertTrue(allStarted(w, 16));
         w.run(3);
         int[] told = new int[1];
@@ -542,14 +767,20 @@
         }
         w.in(1, () -> w.leader().restartAfter(0.3));
         w.in(6, () -> {
-            if (w.leader() != null) w.leader().restartAfter(0.1);
+            if (w.leader() != null) {
+                w.leader().restartAfter(0.1);
+            }
         });
         w.in(9, () -> {
-            for (World.Node n : w.nodes) n.restartAfter(0.2 + 0.3 * w.nodes.indexOf(n)); // all end, and one is back first
+            for (World.Node n : w.nodes) {
+                n.restartAfter(0.2 + 0.3 * w.nodes.indexOf(n)); // all end, and one is back first
+            }
         });
         w.run(World.CANCEL_S + 14);
         assertTrue(told[0] >= 3);
-        for (int i = 1; i <= 3; i++) assertEquals(0, on(w, id(i)));
+        for (int i = 1; i <= 3; i++) {
+            assertEquals(0, on(w, id(i)));
+        }
         w.runS = 5;
         end(w, 200);
     }
@@ -565,19 +796,31 @@
             int n = i;
             w.in(2 + i * 0.25, () -> {
                 World.Node a = w.nodes.get(n % 3);
-                if (a.up) a.sendFresh(id(n), 1);
-                if (n % 3 == 0) w.in(6 + n % 11, () -> {
-                    if (w.accepted().contains(id(n))) w.nodes.get((n + 2) % 3).repeat(id(n));
-                });
-                if (n % 4 == 1) w.in(0.05 + n % 13 * 0.3, () -> {
-                    World.Node b = w.nodes.get((n + 1) % 3);
-                    b.askLater("abort", id(n), r -> b.users.abort(id(n), r), null);
-                });
+                if (a.up) {
+                    a.sendFresh(id(n), 1);
+                }
+                if (n % 3 == 0) {
+                    w.in(6 + n % 11, () -> {
+                        if (w.accepted().contains(id(n))) {
+                            w.nodes.get((n + 2) % 3).repeat(id(n));
+                        }
+                    });
+                }
+                if (n % 4 == 1) {
+                    w.in(0.05 + n % 13 * 0.3, () -> {
+                        World.Node b = w.nodes.get((n + 1) % 3);
+                        b.askLater("abort", id(n), r -> b.users.abort(id(n), r), null);
+                    });
+                }
+            });
+        }
+        for (double t = 12; t < 60; t += 12) {
+            w.in(t, () -> {
+                if (w.leader() != null) {
+                    w.leader().restartAfter(0.5);
+                }
             });
         }
-        for (double t = 12; t < 60; t += 12) w.in(t, () -> {
-            if (w.leader() != null) w.leader().restartAfter(0.5);
-        });
         w.run(66);
         assertTrue(w.accepted().size() > 150);
         assertTrue(w.cancelledAt.size() > 30);
@@ -591,8 +834,20 @@
      * can have heard: through its watch in a moment, and from the others within a second where it is refused.
      */
     @ParameterizedTest(name = "cancelled {0} s after the write of its places, the leader {1}")
-    @CsvSource({"0.001, served", "0.005, served", "0.02, served", "0.1, served", "0.3, served", "0.001, refused", "0.005, refused",
-            "0.02, refused", "0.1, refused", "0.3, refused", "0.02, ends", "0.005, ends"})
+    @CsvSource({
+        "0.001, served",
+        "0.005, served",
+        "0.02, served",
+        "0.1, served",
+        "0.3, served",
+        "0.001, refused",
+        "0.005, refused",
+        "0.02, refused",
+        "0.1, refused",
+        "0.3, refused",
+        "0.02, ends",
+        "0.005, ends"
+    })
     void nothingStartsOnceTheLeaderCanHaveHeardOfACancellation(double afterS, String leader) {
         World w = new World(3);
         w.runS = 30;
@@ -611,10 +866,18 @@
         w.state.onMulti = (from, body) -> {
             for (int i = 1; i <= 4; i++) {
                 String id = id(i);
-                if (from != old || w.cancelledAt.containsKey(id) || !body.toString().contains("put=j/" + id)) continue;
+                if (from != old
+                        || w.cancelledAt.containsKey(id)
+                        || !body.toString().contains("put=j/" + id)) {
+                    continue;
+                }
                 w.in(afterS, () -> {
-                    if (leader.equals("refused")) old.link = StateStandIn.Link.REFUSED;
-                    if (leader.equals("ends") && old.up) old.restartAfter(0.3);
+                    if (leader.equals("refused")) {
+                        old.link = StateStandIn.Link.REFUSED;
+                    }
+                    if (leader.equals("ends") && old.up) {
+                        old.restartAfter(0.3);
+                    }
                     teller.askLater("abort", id, r -> teller.users.abort(id, r), a -> met[0]++);
                 });
             }
@@ -635,23 +898,35 @@
     void tenLeadersInTwoMinutes(boolean outage, String shape) {
         World w = new World(5);
         w.runS = 150;
-        for (int i = 1; i <= 6; i++) submit(w, i, shape, 4);
+        for (int i = 1; i <= 6; i++) {
+            submit(w, i, shape, 4);
+        }
         assertTrue(allStarted(w, 24));
         int[] terms = new int[1];
         w.onLead.add(n -> terms[0]++);
-        for (int k = 0; k < 10; k++) w.in(12 * k + 1, () -> {
-            if (w.leader() != null) w.leader().restartAfter(0.4);
-        });
+        for (int k = 0; k < 10; k++) {
+            w.in(12 * k + 1, () -> {
+                if (w.leader() != null) {
+                    w.leader().restartAfter(0.4);
+                }
+            });
+        }
         for (int i = 1; i <= 3; i++) {
             String id = id(i);
-            for (int q = 0; q < 20; q++) w.in(20 * i + q, () -> {
-                World.Node n = w.nodes.get(2);
-                if (!w.cancelledAt.containsKey(id)) n.askLater("abort", id, r -> n.users.abort(id, r), null);
-            });
+            for (int q = 0; q < 20; q++) {
+                w.in(20 * i + q, () -> {
+                    World.Node n = w.nodes.get(2);
+                    if (!w.cancelledAt.containsKey(id)) {
+                        n.askLater("abort", id, r -> n.users.abort(id, r), null);
+                    }
+                });
+            }
         }
-        if (outage) for (double t : new double[] {18, 66}) {
-            w.in(t, () -> w.state.outage = true);
-            w.in(t + 16, () -> w.state.recover());
+        if (outage) {
+            for (double t : new double[] {18, 66}) {
+                w.in(t, () -> w.state.outage = true);
+                w.in(t + 16, () -> w.state.recover());
+            }
         }
         w.run(125);
         assertTrue(terms[0] >= (outage ? 7 : 9), () -> terms[0] + " terms");
@@ -661,13 +936,22 @@
 
     /** A zone with machines and a controller, perhaps the leader, is cut off for longer than a lease. */
     @ParameterizedTest(name = "the leader inside {0}, for {1} s, cancelled {2} s in, {3}")
-    @CsvSource({"true, 14, 1, array", "true, 40, 0.1, gang", "true, 40, 5, array", "false, 14, 1, array", "false, 40, 12, gang",
-            "true, 60, 3, service", "false, 9, 1, service"})
+    @CsvSource({
+        "true, 14, 1, array",
+        "true, 40, 0.1, gang",
+        "true, 40, 5, array",
+        "false, 14, 1, array",
+        "false, 40, 12, gang",
+        "true, 60, 3, service",
+        "false, 9, 1, service"
+    })
     void aZoneWithAControllerIsCutOff(boolean leaderInside, double forS, double cancelS, String shape) {
         World w = new World(3);
         w.zones = List.of("a", "b");
         w.runS = 100;
-        for (int i = 1; i <= 4; i++) submit(w, i, shape, 4);
+        for (int i = 1; i <= 4; i++) {
+            submit(w, i, shape, 4);
+        }
         w.accept(id(5), 6, false, Map.of("site", "a"));
         w.accept(id(6), 6, false, Map.of("site", "b", "oneZone", true));
         assertTrue(allStarted(w, 28));
@@ -675,54 +959,91 @@
         World.Node in = leaderInside ? w.leader() : other(w, w.leader());
         in.inside = true;
         assertTrue(w.workers.values().stream().anyMatch(k -> k.zone.equals("a")));
-        for (World.Worker k : w.workers.values()) k.inside = k.zone.equals("a");
+        for (World.Worker k : w.workers.values()) {
+            k.inside = k.zone.equals("a");
+        }
         World.Node outside = other(w, in);
         w.run(cancelS);
         for (int i : new int[] {1, 5}) {
-            w.until(12, () -> "withdrawn".equals(String.valueOf(outside.abort(id(i)).get("status"))));
+            w.until(
+                    12,
+                    () -> "withdrawn".equals(String.valueOf(outside.abort(id(i)).get("status"))));
             assertTrue(w.cancelledAt.containsKey(id(i)));
         }
         w.run(forS);
         in.inside = false;
-        for (World.Worker k : w.workers.values()) k.inside = false;
+        for (World.Worker k : w.workers.values()) {
+            k.inside = false;
+        }
         w.run(World.CANCEL_S);
         w.runS = 5;
-        for (int i : new int[] {2, 3, 4}) if (shape.equals("service")) outside.abort(id(i));
+        for (int i : new int[] {2, 3, 4}) {
+            if (shape.equals("service")) {
+                outside.abort(id(i));
+            }
+        }
         end(w, 200);
     }
 
     /** Jobs bound to one zone, arrays too, lose machines, their zone fills up, and the leader changes. */
     @ParameterizedTest(name = "{0} bound by {1}, machines {2}, the leader ends {3}, the zone full {4}")
-    @CsvSource({"array, one zone, die, false, false", "array, one zone, cut, true, true", "gang, one zone, die, true, true",
-            "service, one zone, cut, false, true", "array, site, die, true, true", "gang, site, cut, false, false",
-            "service, site, hang, true, true", "array, one zone, die, true, true", "array, one zone, hang, false, true"})
+    @CsvSource({
+        "array, one zone, die, false, false",
+        "array, one zone, cut, true, true",
+        "gang, one zone, die, true, true",
+        "service, one zone, cut, false, true",
+        "array, site, die, true, true",
+        "gang, site, cut, false, false",
+        "service, site, hang, true, true",
+        "array, one zone, die, true, true",
+        "array, one zone, hang, false, true"
+    })
     void jobsBoundToOneZoneLoseMachines(String shape, String by, String how, boolean ends, boolean full) {
         World w = new World(3);
         w.zones = List.of("a", "b");
         w.runS = 80;
         Map<String, Object> more = new HashMap<>(by.equals("site") ? Map.of("site", "a") : Map.of("oneZone", true));
-        if (shape.equals("service")) more.put("shape", "daemon");
-        for (int i = 1; i <= 4; i++) w.accept(id(i), 8, shape.equals("gang"), more);
+        if (shape.equals("service")) {
+            more.put("shape", "daemon");
+        }
+        for (int i = 1; i <= 4; i++) {
+            w.accept(id(i), 8, shape.equals("gang"), more);
+        }
         assertTrue(w.until(60, () -> on(w, id(1)) + on(w, id(2)) + on(w, id(3)) + on(w, id(4)) == 32), "all run");
-        if (full) for (String z : List.of("a", "b")) {
-            w.zoneCapacity.put(z, (int) w.workers.values().stream().filter(k -> k.zone.equals(z)).count());
+        if (full) {
+            for (String z : List.of("a", "b")) {
+                w.zoneCapacity.put(z, (int) w.workers.values().stream()
+                        .filter(k -> k.zone.equals(z))
+                        .count());
+            }
         }
         int i = 0;
         for (World.Worker k : new ArrayList<>(w.workers.values())) {
-            if (i++ % 3 == 0) continue;
-            if (how.equals("die")) k.die();
-            else if (how.equals("cut")) {
+            if (i++ % 3 == 0) {
+                continue;
+            }
+            if (how.equals("die")) {
+                k.die();
+            } else if (how.equals("cut")) {
                 k.cut = true;
                 w.in(24, () -> k.cut = false);
-            } else k.hangsUntil = w.now + 9.2;
+            } else {
+                k.hangsUntil = w.now + 9.2;
+            }
+        }
+        if (ends) {
+            w.leader().restartAfter(0.4);
         }
-        if (ends) w.leader().restartAfter(0.4);
         w.run(26);
         w.runS = 5;
         if (shape.equals("service")) {
             w.run(60);
-            for (int j = 1; j <= 4; j++) assertEquals(8, on(w, id(j)), "all replicas run again");
-            for (int j = 1; j <= 4; j++) w.nodes.get(0).abort(id(j));
+            for (int j = 1; j <= 4; j++) {
+                assertEquals(8, on(w, id(j)), "all replicas run again");
+            }
+            for (int j = 1; j <= 4; j++) {
+                w.nodes.get(0).abort(id(j));
+            }
         }
         end(w, 250);
     }
@@ -735,19 +1056,31 @@
         w.zones = List.of("a", "b");
         w.runS = 120;
         Map<String, Object> more = new HashMap<>(Map.of("oneZone", true));
-        if (shape.equals("service")) more.put("shape", "daemon");
+        if (shape.equals("service")) {
+            more.put("shape", "daemon");
+        }
         w.accept(id(1), 8, false, more);
         assertTrue(w.until(60, () -> on(w, id(1)) == 8));
-        String zone = w.workers.values().stream().filter(k -> !k.held().isEmpty()).findFirst().orElseThrow().zone;
+        String zone = w.workers.values().stream()
+                .filter(k -> !k.held().isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .zone;
         String elsewhere = zone.equals("a") ? "b" : "a";
         w.zoneCapacity.put(zone, 0);
         w.worker(elsewhere);
         w.worker(elsewhere);
         w.run(6);
-        List<World.Worker> there = w.workers.values().stream().filter(k -> k.zone.equals(zone))
-                .sorted(java.util.Comparator.comparingInt(k -> k.held().size())).toList();
-        for (World.Worker k : there.subList(0, there.size() - 1)) k.die();
-        if (ends) w.leader().restartAfter(0.4);
+        List<World.Worker> there = w.workers.values().stream()
+                .filter(k -> k.zone.equals(zone))
+                .sorted(java.util.Comparator.comparingInt(k -> k.held().size()))
+                .toList();
+        for (World.Worker k : there.subList(0, there.size() - 1)) {
+            k.die();
+        }
+        if (ends) {
+            w.leader().restartAfter(0.4);
+        }
         w.run(14);
         assertTrue(on(w, id(1)) <= 4, "room elsewhere is none for it");
         w.zoneCapacity.clear();
@@ -762,8 +1095,14 @@
 
     /** Workers that reach nobody while orders straight to them arrive, and the leader changes or jobs are cancelled. */
     @ParameterizedTest(name = "for {0} s, the leader ends {1}, cancelled {2}, {3}")
-    @CsvSource({"6, false, true, array", "14, false, true, gang", "14, true, false, array", "30, true, true, gang",
-            "30, false, false, service", "8, true, true, service"})
+    @CsvSource({
+        "6, false, true, array",
+        "14, false, true, gang",
+        "14, true, false, array",
+        "30, true, true, gang",
+        "30, false, false, service",
+        "8, true, true, service"
+    })
     void workersThatReachNobodyButHearOrders(double forS, boolean ends, boolean cancelled, String shape) {
         World w = new World(3);
         w.runS = 60;
@@ -777,18 +1116,34 @@
             w.in(forS, () -> k.mute = false);
         }
         w.run(0.5);
-        if (cancelled) assertEquals("withdrawn", w.nodes.get(0).abort(id(1)).get("status"));
-        if (ends) w.leader().restartAfter(0.3);
+        if (cancelled) {
+            assertEquals("withdrawn", w.nodes.get(0).abort(id(1)).get("status"));
+        }
+        if (ends) {
+            w.leader().restartAfter(0.3);
+        }
         submit(w, 3, shape, 4); // starts may go straight to them
         w.run(forS + 10);
-        if (shape.equals("service")) for (int i = 1; i <= 3; i++) w.nodes.get(0).abort(id(i));
+        if (shape.equals("service")) {
+            for (int i = 1; i <= 3; i++) {
+                w.nodes.get(0).abort(id(i));
+            }
+        }
         end(w, 200);
     }
 
     /** A command or its answer is held up for seconds, the machine goes on, and meanwhile a user cancels or the leader ends. */
     @ParameterizedTest(name = "held up {0} s, hung {1} s, cancelled {2} s in, the leader ends {3}, {4}")
-    @CsvSource({"2, 0, 0.5, false, gang", "4, 3, 1, false, gang", "8, 6, 0.2, true, gang", "9, 9, 2, true, gang", "6, 6, 4, false, service",
-            "12, 0, 0.3, true, service", "5, 8, 0.1, false, array", "20, 9, 3, true, array"})
+    @CsvSource({
+        "2, 0, 0.5, false, gang",
+        "4, 3, 1, false, gang",
+        "8, 6, 0.2, true, gang",
+        "9, 9, 2, true, gang",
+        "6, 6, 4, false, service",
+        "12, 0, 0.3, true, service",
+        "5, 8, 0.1, false, array",
+        "20, 9, 3, true, array"
+    })
     void ordersHeldUpWhileTheMachineHangs(double lateS, double hungS, double cancelS, boolean ends, String shape) {
         World w = new World(3);
         w.runS = 40;
@@ -799,16 +1154,24 @@
         submit(w, 1, shape, 6);
         submit(w, 2, shape, 4);
         w.run(1.2);
-        for (World.Worker k : w.workers.values()) k.hangsUntil = w.now + hungS;
+        for (World.Worker k : w.workers.values()) {
+            k.hangsUntil = w.now + hungS;
+        }
         w.run(cancelS);
-        for (int i = 0; i < 8 && !w.cancelledAt.containsKey(id(1)); i++) other(w, w.leader()).abort(id(1));
+        for (int i = 0; i < 8 && !w.cancelledAt.containsKey(id(1)); i++) {
+            other(w, w.leader()).abort(id(1));
+        }
         assertTrue(w.cancelledAt.containsKey(id(1)));
-        if (ends) w.leader().restartAfter(0.2);
+        if (ends) {
+            w.leader().restartAfter(0.2);
+        }
         w.run(World.CANCEL_S + 2);
         assertEquals(0, on(w, id(1)));
         w.commandLateS = 0;
         w.runS = 5;
-        if (shape.equals("service")) w.nodes.get(0).abort(id(2));
+        if (shape.equals("service")) {
+            w.nodes.get(0).abort(id(2));
+        }
         end(w, 200);
     }
 
@@ -818,13 +1181,24 @@
     void allControllersAwayForLongerThanALease(double forS, boolean before, String shape) {
         World w = new World(3);
         w.runS = 100;
-        for (int i = 1; i <= 3; i++) submit(w, i, shape, 4);
+        for (int i = 1; i <= 3; i++) {
+            submit(w, i, shape, 4);
+        }
         assertTrue(allStarted(w, 12));
         w.run(3);
-        if (before) assertEquals("withdrawn", w.nodes.get(1).abort(id(1)).get("status"));
-        for (World.Node n : w.nodes) n.restartAfter(forS);
+        if (before) {
+            assertEquals("withdrawn", w.nodes.get(1).abort(id(1)).get("status"));
+        }
+        for (World.Node n : w.nodes) {
+            n.restartAfter(forS);
+        }
         w.run(forS + 0.1);
-        if (!before) assertTrue(w.until(20, () -> "withdrawn".equals(String.valueOf(w.nodes.get(1).abort(id(1)).get("status")))));
+        if (!before) {
+            assertTrue(w.until(
+                    20,
+                    () -> "withdrawn"
+                            .equals(String.valueOf(w.nodes.get(1).abort(id(1)).get("status")))));
+        }
         w.run(World.CANCEL_S + 1);
         assertEquals(0, on(w, id(1)));
         w.runS = 5;
@@ -833,32 +1207,54 @@
 
     /** A cancellation, a question or a repeated submission meets the end of a job's last task. */
     @ParameterizedTest(name = "{0}, {1} s after the end")
-    @CsvSource({"array, -0.4", "array, -0.05", "array, 0", "array, 0.05", "array, 0.25", "array, 0.5", "gang, -0.05", "gang, 0.1", "gang, 0.4",
-            "gang, 0.9"})
+    @CsvSource({
+        "array, -0.4",
+        "array, -0.05",
+        "array, 0",
+        "array, 0.05",
+        "array, 0.25",
+        "array, 0.5",
+        "gang, -0.05",
+        "gang, 0.1",
+        "gang, 0.4",
+        "gang, 0.9"
+    })
     void aCancellationMeetsTheEndOfTheLastTask(String shape, double afterS) {
         World w = new World(3);
         w.runS = 6;
-        for (int i = 1; i <= 8; i++) submit(w, i, shape, 2);
+        for (int i = 1; i <= 8; i++) {
+            submit(w, i, shape, 2);
+        }
         assertTrue(allStarted(w, 16));
         boolean[] met = new boolean[9];
-        for (double t = 0; t < 12; t += 0.05) w.in(t, () -> {
-            for (int i = 1; i <= 8; i++) {
-                String id = id(i);
-                double least = w.workers.values().stream().flatMap(k -> k.held().stream()).filter(x -> x.job.equals(id))
-                        .mapToDouble(x -> x.ranS).min().orElse(99);
-                if (met[i] || least < w.runS + Math.min(0, afterS) - 0.01) continue;
-                met[i] = true;
-                w.in(Math.max(0, afterS), () -> {
-                    for (World.Node n : w.nodes) {
-                        n.askLater("abort", id, r -> n.users.abort(id, r), null);
-                        n.askLater("poll", id, r -> n.users.poll(id, r), null);
-                        n.repeat(id);
+        for (double t = 0; t < 12; t += 0.05) {
+            w.in(t, () -> {
+                for (int i = 1; i <= 8; i++) {
+                    String id = id(i);
+                    double least = w.workers.values().stream()
+                            .flatMap(k -> k.held().stream())
+                            .filter(x -> x.job.equals(id))
+                            .mapToDouble(x -> x.ranS)
+                            .min()
+                            .orElse(99);
+                    if (met[i] || least < w.runS + Math.min(0, afterS) - 0.01) {
+                        continue;
                     }
-                });
-            }
-        });
+                    met[i] = true;
+                    w.in(Math.max(0, afterS), () -> {
+                        for (World.Node n : w.nodes) {
+                            n.askLater("abort", id, r -> n.users.abort(id, r), null);
+                            n.askLater("poll", id, r -> n.users.poll(id, r), null);
+                            n.repeat(id);
+                        }
+                    });
+                }
+            });
+        }
         w.run(14);
-        for (int i = 1; i <= 8; i++) assertTrue(met[i]);
+        for (int i = 1; i <= 8; i++) {
+            assertTrue(met[i]);
+        }
         end(w, 60);
     }
 
@@ -871,21 +1267,31 @@
         w.runS = 45;
         w.commandLateS = slowS;
         w.state.slowS = slowS / 4;
-        for (int i = 1; i <= 4; i++) w.accept(id(i), 10, false, Map.of("urgency", "idle"));
+        for (int i = 1; i <= 4; i++) {
+            w.accept(id(i), 10, false, Map.of("urgency", "idle"));
+        }
         w.run(8);
         for (int i = 11; i <= 14; i++) {
             Map<String, Object> more = new HashMap<>(Map.of("urgency", i % 2 == 0 ? "prod" : "high", "crew", "u"));
-            if (i % 2 == 0) more.put("shape", "daemon");
+            if (i % 2 == 0) {
+                more.put("shape", "daemon");
+            }
             w.accept(id(i), 6, false, more);
         }
         w.run(4);
-        if (ends) w.leader().restartAfter(2);
+        if (ends) {
+            w.leader().restartAfter(2);
+        }
         w.run(20);
-        for (int i = 12; i <= 14; i += 2) assertEquals(6, on(w, id(i)), "what is urgent has taken the place of what is not");
+        for (int i = 12; i <= 14; i += 2) {
+            assertEquals(6, on(w, id(i)), "what is urgent has taken the place of what is not");
+        }
         w.commandLateS = 0;
         w.state.slowS = 0;
         w.runS = 6;
-        for (int i = 12; i <= 14; i += 2) w.nodes.get(0).abort(id(i));
+        for (int i = 12; i <= 14; i += 2) {
+            w.nodes.get(0).abort(id(i));
+        }
         end(w, 250);
     }
 
@@ -921,11 +1327,15 @@
                 among(n.poll(id(14)), 404, 503);
                 among(n.abort(id(14)), 404, 503);
                 Map<String, Object> a = n.abort(id(1));
-                if (a != null && (int) a.get("code") == 200) assertEquals("done", a.get("status"));
+                if (a != null && (int) a.get("code") == 200) {
+                    assertEquals("done", a.get("status"));
+                }
             }
             w.run(0.7);
         }
-        for (World.Node n : w.nodes) n.link = StateStandIn.Link.GOOD;
+        for (World.Node n : w.nodes) {
+            n.link = StateStandIn.Link.GOOD;
+        }
         w.state.recover();
         w.run(5);
         for (int i = 10; i <= 14; i++) {
@@ -937,8 +1347,14 @@
     }
 
     private static void among(Map<String, Object> answer, int... codes) {
-        if (answer == null) return; // its process has ended
-        for (int c : codes) if ((int) answer.get("code") == c) return;
+        if (answer == null) {
+            return; // its process has ended
+        }
+        for (int c : codes) {
+            if ((int) answer.get("code") == c) {
+                return;
+            }
+        }
         assertEquals(codes[0], answer.get("code"));
     }
 
@@ -953,10 +1369,16 @@
         assertTrue(allStarted(w, 8));
         w.run(3);
         World.Node old = w.leader();
-        for (World.Node n : w.nodes) if (n != old) n.link = link;
+        for (World.Node n : w.nodes) {
+            if (n != old) {
+                n.link = link;
+            }
+        }
         old.restartAfter(9);
         w.run(8.5);
-        for (World.Node n : w.nodes) n.link = StateStandIn.Link.GOOD;
+        for (World.Node n : w.nodes) {
+            n.link = StateStandIn.Link.GOOD;
+        }
         assertTrue(w.until(9, () -> w.leader() != null), "the key does not stay with somebody who does not know");
         w.run(4 + lateS);
         assertTrue(link == StateStandIn.Link.LATE ? w.state.lateCarriedOut > 0 : w.state.unheard > 0);
@@ -966,8 +1388,14 @@
 
     /** Several aborts of jobs whose machines hang within their lease: they hold when the machines go on. */
     @ParameterizedTest(name = "hung {0} s from {1} s before the abort, the leader ends {2}, {3}")
-    @CsvSource({"9, 0.2, false, array", "9, 5, false, gang", "9.5, 0.1, true, array", "9, 3, true, gang", "9, 1, true, service",
-            "6, 0.5, true, array"})
+    @CsvSource({
+        "9, 0.2, false, array",
+        "9, 5, false, gang",
+        "9.5, 0.1, true, array",
+        "9, 3, true, gang",
+        "9, 1, true, service",
+        "6, 0.5, true, array"
+    })
     void cancelledTasksOnMachinesThatHangWithinTheirLease(double forS, double beforeS, boolean ends, String shape) {
         World w = new World(3);
         w.runS = 200;
@@ -975,19 +1403,29 @@
         submit(w, 2, shape, 4);
         assertTrue(allStarted(w, 12));
         w.run(3);
-        for (World.Worker k : w.workers.values()) k.hangsUntil = w.now + forS;
+        for (World.Worker k : w.workers.values()) {
+            k.hangsUntil = w.now + forS;
+        }
         w.run(beforeS);
         assertEquals("withdrawn", w.nodes.get(0).abort(id(1)).get("status"));
-        if (ends) w.leader().restartAfter(0.2);
+        if (ends) {
+            w.leader().restartAfter(0.2);
+        }
         w.run(forS - beforeS + 0.1);
         // And once more as soon as they are back, each within its lease.
         w.run(0.4);
-        for (World.Worker k : w.workers.values()) k.hangsUntil = w.now + forS;
-        if (ends && w.leader() != null) w.leader().restartAfter(0.2);
+        for (World.Worker k : w.workers.values()) {
+            k.hangsUntil = w.now + forS;
+        }
+        if (ends && w.leader() != null) {
+            w.leader().restartAfter(0.2);
+        }
         w.run(World.CANCEL_S + 1);
         assertEquals(0, on(w, id(1)));
         w.runS = 5;
-        if (shape.equals("service")) w.nodes.get(0).abort(id(2));
+        if (shape.equals("service")) {
+            w.nodes.get(0).abort(id(2));
+        }
         end(w, 200);
     }
 }
--- a/src/test/java/org/mountlug/node/PairsTest.java
+++ b/src/test/java/org/mountlug/node/PairsTest.java
@@ -1,17 +1,16 @@
 package org.mountlug.node;
 
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.MethodSource;
-import org.mountlug.core.model.Report;
-import org.mountlug.core.model.Team;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Team;
 
 /**
  * Faults that meet by the luck of a seed, each at an offset from the other, with all checks of the world on. A seed that
@@ -28,8 +27,29 @@
 
     /** The faults that meet; each begins at once and ends by itself after so many seconds. */
     private enum Fault {
-        LEADER_ENDS, ALL_END, LEADER_REFUSED, OUTAGE, LEADER_SILENT, UNHEARD, LATE, CUT, HANG, MUTE, DEAF, DIE, COMMANDS_LATE,
-        OLD_REPORTS, OLD_REPORTS_FOR_NEXT, ZONE_CUT, PEERS_REFUSE, FREEZE, CANCEL, CLOSE_LOOKS, HAND_BACK, CLOUD_DOWN, SLOW_STATE,
+        LEADER_ENDS,
+        ALL_END,
+        LEADER_REFUSED,
+        OUTAGE,
+        LEADER_SILENT,
+        UNHEARD,
+        LATE,
+        CUT,
+        HANG,
+        MUTE,
+        DEAF,
+        DIE,
+        COMMANDS_LATE,
+        OLD_REPORTS,
+        OLD_REPORTS_FOR_NEXT,
+        ZONE_CUT,
+        PEERS_REFUSE,
+        FREEZE,
+        CANCEL,
+        CLOSE_LOOKS,
+        HAND_BACK,
+        CLOUD_DOWN,
+        SLOW_STATE,
         LEADER_WITHOUT_WORKERS
     }
 
@@ -37,7 +57,9 @@
     @MethodSource("seeds")
     void faultsThatMeetBreakNothing(long seed) {
         SplittableRandom r = new SplittableRandom(seed);
-        World w = new World(r.nextBoolean() ? 3 : 5, List.of(new Team("t", 0, 40, 0, 0, 1), new Team("u", 8, 16, 0, 0, 1)),
+        World w = new World(
+                r.nextBoolean() ? 3 : 5,
+                List.of(new Team("t", 0, 40, 0, 0, 1), new Team("u", 8, 16, 0, 0, 1)),
                 r.nextBoolean() ? 10 : 16);
         w.zones = r.nextBoolean() ? List.of("a") : List.of("a", "b");
         w.bootS = 0.5 + r.nextDouble() * 3;
@@ -52,15 +74,22 @@
             int kind = r.nextInt(8);
             int tasks = 1 + r.nextInt(kind == 0 ? 2 : 7);
             double at = i <= 6 ? i * 0.2 : r.nextDouble() * spanS;
-            Map<String, Object> more = kind == 0 ? Map.of("shape", "daemon") : kind == 1 ? Map.of("crew", "u")
-                    : kind == 2 ? Map.of("site", "a") : kind == 3 ? Map.of("oneZone", true) : Map.of();
+            Map<String, Object> more = kind == 0
+                    ? Map.of("shape", "daemon")
+                    : kind == 1
+                            ? Map.of("crew", "u")
+                            : kind == 2 ? Map.of("site", "a") : kind == 3 ? Map.of("oneZone", true) : Map.of();
             World.Node n = w.nodes.get(r.nextInt(w.nodes.size()));
             for (double again = 0; again < 12; again += 3) {
                 w.in(at + again, () -> {
-                    if (!w.accepted().contains(id)) n.send(id, tasks, kind == 4 || kind == 5, more);
+                    if (!w.accepted().contains(id)) {
+                        n.send(id, tasks, kind == 4 || kind == 5, more);
+                    }
                 });
             }
-            if (r.nextInt(3) == 0) cancel(w, id, at + r.nextDouble() * 14, r.nextInt(w.nodes.size()));
+            if (r.nextInt(3) == 0) {
+                cancel(w, id, at + r.nextDouble() * 14, r.nextInt(w.nodes.size()));
+            }
         }
         int faults = 2 + r.nextInt(3);
         double at = 6 + r.nextDouble() * 10;
@@ -68,12 +97,13 @@
         double lastS = 0;
         for (int i = 0; i < faults; i++) {
             Fault f = Fault.values()[r.nextInt(Fault.values().length)];
-            double forS = switch (r.nextInt(4)) {
-                case 0 -> 0.1 + r.nextDouble() * 2;
-                case 1 -> 3 + r.nextDouble() * 5;
-                case 2 -> 9 + r.nextDouble() * 4;
-                default -> 15 + r.nextDouble() * 35;
-            };
+            double forS =
+                    switch (r.nextInt(4)) {
+                        case 0 -> 0.1 + r.nextDouble() * 2;
+                        case 1 -> 3 + r.nextDouble() * 5;
+                        case 2 -> 9 + r.nextDouble() * 4;
+                        default -> 15 + r.nextDouble() * 35;
+                    };
             long mine = r.nextLong();
             double start = at;
             w.in(start, () -> begin(w, f, forS, new SplittableRandom(mine)));
@@ -84,7 +114,11 @@
         }
         w.run(Math.max(spanS + 15, lastS + 3));
         w.runS = 5;
-        for (String id : w.accepted()) if (w.services.contains(id)) cancel(w, id, 60, 0);
+        for (String id : w.accepted()) {
+            if (w.services.contains(id)) {
+                cancel(w, id, 60, 0);
+            }
+        }
         w.settle(260);
         assertEquals(List.of(), w.broken(), () -> "seed " + seed + ": " + what);
     }
@@ -93,7 +127,9 @@
         for (int k = 0; k < 8; k++) {
             World.Node n = w.nodes.get((node + k) % w.nodes.size());
             w.in(at + 2 * k, () -> {
-                if (w.accepted().contains(id) && w.outcome(id) == null) n.askLater("abort", id, x -> n.users.abort(id, x), null);
+                if (w.accepted().contains(id) && w.outcome(id) == null) {
+                    n.askLater("abort", id, x -> n.users.abort(id, x), null);
+                }
             });
         }
     }
@@ -108,12 +144,18 @@
         switch (f) {
             case LEADER_ENDS -> n.restartAfter(back);
             case HAND_BACK -> {
-                for (int i = 0; i < 3; i++) w.in(i * 5.5 + r.nextDouble(), () -> {
-                    if (w.leader() != null) w.leader().restartAfter(0.3);
-                });
+                for (int i = 0; i < 3; i++) {
+                    w.in(i * 5.5 + r.nextDouble(), () -> {
+                        if (w.leader() != null) {
+                            w.leader().restartAfter(0.3);
+                        }
+                    });
+                }
             }
             case ALL_END -> {
-                for (World.Node x : w.nodes) x.restartAfter(r.nextBoolean() ? 0.2 + r.nextDouble() : back + Math.min(forS, 20));
+                for (World.Node x : w.nodes) {
+                    x.restartAfter(r.nextBoolean() ? 0.2 + r.nextDouble() : back + Math.min(forS, 20));
+                }
             }
             case LEADER_REFUSED -> link(w, n, StateStandIn.Link.REFUSED, forS);
             case LEADER_SILENT -> {
@@ -146,17 +188,23 @@
                     k.deaf = f == Fault.DEAF;
                     w.in(forS, () -> k.cut = k.mute = k.deaf = false);
                 }
-                if (f == Fault.DEAF) w.in(forS, () -> {
-                    List<Runnable> held = new ArrayList<>(w.heldCommands);
-                    w.heldCommands.clear();
-                    held.forEach(Runnable::run);
-                });
+                if (f == Fault.DEAF) {
+                    w.in(forS, () -> {
+                        List<Runnable> held = new ArrayList<>(w.heldCommands);
+                        w.heldCommands.clear();
+                        held.forEach(Runnable::run);
+                    });
+                }
             }
             case HANG -> {
-                for (World.Worker k : some) k.hangsUntil = w.now + Math.min(forS, 25);
+                for (World.Worker k : some) {
+                    k.hangsUntil = w.now + Math.min(forS, 25);
+                }
             }
             case DIE -> {
-                for (World.Worker k : some.subList(0, some.size() / 3)) k.die();
+                for (World.Worker k : some.subList(0, some.size() / 3)) {
+                    k.die();
+                }
             }
             case COMMANDS_LATE -> {
                 w.commandLateS = 0.5 + r.nextDouble() * 8;
@@ -165,20 +213,35 @@
             case OLD_REPORTS, OLD_REPORTS_FOR_NEXT -> {
                 List<Report> old = new ArrayList<>();
                 for (World.Worker k : w.workers.values()) {
-                    for (Report x : k.sent.subList(Math.max(0, k.sent.size() - 12), k.sent.size())) if (r.nextInt(3) > 0) old.add(x);
+                    for (Report x : k.sent.subList(Math.max(0, k.sent.size() - 12), k.sent.size())) {
+                        if (r.nextInt(3) > 0) {
+                            old.add(x);
+                        }
+                    }
                 }
                 Runnable come = () -> {
-                    for (World.Node x : w.nodes) if (x.up && x.frozenUntil <= w.now) old.forEach(x.controller::beat);
+                    for (World.Node x : w.nodes) {
+                        if (x.up && x.frozenUntil <= w.now) {
+                            old.forEach(x.controller::beat);
+                        }
+                    }
                 };
-                if (f == Fault.OLD_REPORTS) w.in(2 + r.nextDouble() * forS, come);
-                else w.onLead.add(x -> w.in(r.nextInt(3) * 0.4, come));
+                if (f == Fault.OLD_REPORTS) {
+                    w.in(2 + r.nextDouble() * forS, come);
+                } else {
+                    w.onLead.add(x -> w.in(r.nextInt(3) * 0.4, come));
+                }
             }
             case ZONE_CUT -> {
                 any.inside = true;
-                for (World.Worker k : w.workers.values()) k.inside = k.zone.equals("a") && (w.zones.size() > 1 || k.name.hashCode() % 2 == 0);
+                for (World.Worker k : w.workers.values()) {
+                    k.inside = k.zone.equals("a") && (w.zones.size() > 1 || k.name.hashCode() % 2 == 0);
+                }
                 w.in(forS, () -> {
                     any.inside = false;
-                    for (World.Worker k : w.workers.values()) k.inside = false;
+                    for (World.Worker k : w.workers.values()) {
+                        k.inside = false;
+                    }
                 });
             }
             case PEERS_REFUSE -> {
@@ -195,8 +258,16 @@
                 w.in(forS, () -> w.cloudDown = false);
             }
             case CANCEL -> {
-                for (String id : w.accepted()) if (w.outcome(id) == null && r.nextBoolean()) cancel(w, id, r.nextDouble() * 0.2, r.nextInt(5));
-                for (World.Worker k : some) if (r.nextBoolean()) k.hangsUntil = w.now + Math.min(forS, w.leaseS - 0.5);
+                for (String id : w.accepted()) {
+                    if (w.outcome(id) == null && r.nextBoolean()) {
+                        cancel(w, id, r.nextDouble() * 0.2, r.nextInt(5));
+                    }
+                }
+                for (World.Worker k : some) {
+                    if (r.nextBoolean()) {
+                        k.hangsUntil = w.now + Math.min(forS, w.leaseS - 0.5);
+                    }
+                }
             }
             case CLOSE_LOOKS -> {
                 for (double t = 0; t < Math.min(forS, 8); t += 0.09) {
@@ -205,9 +276,14 @@
                     boolean repeat = r.nextInt(4) == 0;
                     w.in(t, () -> {
                         String id = String.format("wk-%06d", pick);
-                        if (w.body(id) == null) return;
-                        if (repeat) x.repeat(id);
-                        else x.askLater("poll", id, y -> x.users.poll(id, y), null);
+                        if (w.body(id) == null) {
+                            return;
+                        }
+                        if (repeat) {
+                            x.repeat(id);
+                        } else {
+                            x.askLater("poll", id, y -> x.users.poll(id, y), null);
+                        }
                     });
                 }
             }
@@ -217,7 +293,9 @@
     private static void link(World w, World.Node n, StateStandIn.Link link, double forS) {
         n.link = link;
         w.in(forS, () -> {
-            if (n.link == link) n.link = StateStandIn.Link.GOOD;
+            if (n.link == link) {
+                n.link = StateStandIn.Link.GOOD;
+            }
         });
     }
 }
--- a/src/test/java/org/mountlug/node/ServicesTest.java
+++ b/src/test/java/org/mountlug/node/ServicesTest.java
@@ -1,31 +1,34 @@
 package org.mountlug.node;
 
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.ValueSource;
-import org.mountlug.core.model.Cause;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mountlug.core.model.Cause;
 
 /** Services: they come back after every kind of loss, run until called off, and are gone soon after. */
 class ServicesTest {
     private static final String S = "wk-000001";
-    private static final Map<String, Object> SERVICE = Map.of("shape", "daemon", "urgency", "prod", "expectedS", 0.0,
-            "loaners", false);
+    private static final Map<String, Object> SERVICE =
+            Map.of("shape", "daemon", "urgency", "prod", "expectedS", 0.0, "loaners", false);
 
     private static Set<String> running(World w) {
         Set<String> tasks = new HashSet<>();
         for (World.Worker x : w.workers.values()) {
-            if (x.gone) continue;
+            if (x.gone) {
+                continue;
+            }
             for (World.Task t : x.tasks.values()) {
-                if (t.job.equals(S) && t.state == org.mountlug.core.model.TaskState.RUNNING) tasks.add(t.job + "/" + t.index);
+                if (t.job.equals(S) && t.state == org.mountlug.core.model.TaskState.RUNNING) {
+                    tasks.add(t.job + "/" + t.index);
+                }
             }
         }
         return tasks;
@@ -39,14 +42,26 @@
     }
 
     private static World.Worker holder(World w) {
-        return w.workers.values().stream().filter(x -> x.tasks.values().stream().anyMatch(t -> t.job.equals(S)))
-                .findFirst().orElseThrow();
+        return w.workers.values().stream()
+                .filter(x -> x.tasks.values().stream().anyMatch(t -> t.job.equals(S)))
+                .findFirst()
+                .orElseThrow();
     }
 
     /** Whatever a replica ends with, and whatever is lost under it, it runs again, once. */
     @ParameterizedTest(name = "{0}, within {1} s")
-    @CsvSource({"done, 20", "stopped, 20", "error, 20", "machine dies, 40", "machine cut, 40", "machine sick, 90",
-            "leader ends, 30", "all end, 40", "all end for longer than a lease, 60", "outage, 60"})
+    @CsvSource({
+        "done, 20",
+        "stopped, 20",
+        "error, 20",
+        "machine dies, 40",
+        "machine cut, 40",
+        "machine sick, 90",
+        "leader ends, 30",
+        "all end, 40",
+        "all end for longer than a lease, 60",
+        "outage, 60"
+    })
     void replicasReturn(String loss, double within) {
         World w = serving(6);
         World.Worker first = holder(w);
@@ -69,8 +84,12 @@
         }
         w.run(2);
         // A machine that cannot be reached may go on for its lease; what it runs is not what counts.
-        assertTrue(w.until(within, () -> running(w).size() == 6 && (!loss.startsWith("machine") || first.tasks.isEmpty()
-                || first.gone)), () -> running(w) + " run after " + loss);
+        assertTrue(
+                w.until(
+                        within,
+                        () -> running(w).size() == 6
+                                && (!loss.startsWith("machine") || first.tasks.isEmpty() || first.gone)),
+                () -> running(w) + " run after " + loss);
         assertTrue(w.until(8, () -> "running".equals(w.status(S, 5))));
         assertEquals(List.of(), w.broken());
     }
@@ -105,7 +124,8 @@
     @ValueSource(strings = {"quiet", "restart", "machine dies", "machine cut", "leader ends", "all end", "twice"})
     void aServiceIsCalledOff(String amid) {
         World w = serving(6);
-        World.Node asked = w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
+        World.Node asked =
+                w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
         switch (amid) {
             case "restart" -> {
                 w.replicasEnd = Cause.ERROR;
@@ -115,15 +135,18 @@
             case "machine cut" -> holder(w).cut = true;
             case "leader ends" -> w.leader().restartAfter(6);
             case "all end" -> w.nodes.forEach(n -> n.restartAfter(0.5));
-            default -> {
-            }
+            default -> {}
+        }
+        if (amid.equals("all end")) {
+            w.run(2);
         }
-        if (amid.equals("all end")) w.run(2);
         assertTrue(w.until(20, () -> {
             Map<String, Object> a = asked.abort(S);
             return a != null && "withdrawn".equals(a.get("status"));
         }));
-        if (amid.equals("twice")) w.nodes.forEach(n -> n.abort(S));
+        if (amid.equals("twice")) {
+            w.nodes.forEach(n -> n.abort(S));
+        }
         w.run(World.CANCEL_S);
         assertEquals(Set.of(), running(w));
         assertEquals("withdrawn", w.status(S, 75));
--- a/src/test/java/org/mountlug/node/StateStandIn.java
+++ b/src/test/java/org/mountlug/node/StateStandIn.java
@@ -1,23 +1,24 @@
 package org.mountlug.node;
 
 import io.undertow.util.HttpString;
-import org.mountlug.wire.Json;
-import org.mountlug.wire.Calls;
-import org.mountlug.wire.Cbor;
-import org.mountlug.wire.Fields;
-import org.mountlug.wire.Http;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.mountlug.wire.Calls;
+import org.mountlug.wire.Cbor;
+import org.mountlug.wire.Fields;
+import org.mountlug.wire.Http;
+import org.mountlug.wire.Json;
 
 /** The state service in memory, by its protocol: versions, leases, watches, limits, outages. */
 final class StateStandIn {
     /** How one node reaches it. */
     enum Link {
-        GOOD, REFUSED, SILENT,
+        GOOD,
+        REFUSED,
+        SILENT,
         /** Transactions are carried out at once, but their answers are lost. */
         UNHEARD,
         /** Transactions get no answer and are carried out {@link #lateS} later. */
@@ -28,9 +29,11 @@
     double lateS = 3;
     /** Requests and changes a second that it takes, with a burst of one second's worth; none where not set. */
     double rps = Double.POSITIVE_INFINITY;
+
     double writeRps = Double.POSITIVE_INFINITY;
     /** How many requests were refused by these limits. */
     int limited;
+
     private double requestsLeft = Double.NaN;
     private double writesLeft;
     private double countedS;
@@ -38,6 +41,7 @@
     double slowS;
     /** Sees each transaction just before it leaves its node. */
     java.util.function.BiConsumer<World.Node, Map<String, Object>> onMulti;
+
     int lateCarriedOut;
     int lateSucceeded;
     int unheard;
@@ -51,14 +55,17 @@
     private final int valueMost;
     /** The limits from now on, lowered without notice: beyond them a change gets 400. */
     private int opsNow;
+
     private int valueNow;
     /** How many changes were refused for their size. */
     int refused;
+
     private final TreeMap<String, Row> rows = new TreeMap<>();
     private final List<Entry> log = new ArrayList<>();
     private final Map<Long, double[]> holds = new TreeMap<>();
     /** Held-back transactions of a cut node, to be carried out late. */
     final List<Runnable> heldBack = new ArrayList<>();
+
     private long epoch = 1;
     private long nextHold = 7;
     boolean outage;
@@ -76,28 +83,43 @@
         return (method, path, body, timeoutMs, then) -> {
             // Through bytes and back, so that a value cannot be shared by mistake.
             Map<String, Object> copy = body == null ? Map.of() : copy(body);
-            if (path.equals("/multi") && onMulti != null) onMulti.accept(from, copy);
+            if (path.equals("/multi") && onMulti != null) {
+                onMulti.accept(from, copy);
+            }
             Link l = link.get();
             if (l == Link.SILENT) {
-                if (path.equals("/multi")) heldBack.add(() -> multi(copy));
+                if (path.equals("/multi")) {
+                    heldBack.add(() -> multi(copy));
+                }
                 world.in(timeoutMs / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
             } else if (path.equals("/multi") && l == Link.LATE && !outage) {
                 world.in(lateS, () -> {
                     lateCarriedOut++;
-                    if ((int) multi(copy)[0] == 200) lateSucceeded++;
+                    if ((int) multi(copy)[0] == 200) {
+                        lateSucceeded++;
+                    }
                 });
                 world.in(timeoutMs / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
             } else if (path.equals("/multi") && l == Link.UNHEARD && !outage) {
                 world.in(0.002, () -> {
-                    if ((int) multi(copy)[0] == 200) unheard++;
+                    if ((int) multi(copy)[0] == 200) {
+                        unheard++;
+                    }
                 });
                 world.in(timeoutMs / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
-            } else world.in(0.002, () -> {
-                if (path.startsWith("/watch")) watch(path, world.now + timeoutMs / 1000.0, link, then);
-                else if (l == Link.REFUSED || outage) answer(then, 503, Map.of());
-                else if (overLimit(copy)) answer(then, 429, Map.of());
-                else serve(method, path, copy, then);
-            });
+            } else {
+                world.in(0.002, () -> {
+                    if (path.startsWith("/watch")) {
+                        watch(path, world.now + timeoutMs / 1000.0, link, then);
+                    } else if (l == Link.REFUSED || outage) {
+                        answer(then, 503, Map.of());
+                    } else if (overLimit(copy)) {
+                        answer(then, 429, Map.of());
+                    } else {
+                        serve(method, path, copy, then);
+                    }
+                });
+            }
         };
     }
 
@@ -111,12 +133,17 @@
     }
 
     private boolean overLimit(Map<String, Object> body) {
-        if (Double.isInfinite(rps)) return false;
+        if (Double.isInfinite(rps)) {
+            return false;
+        }
         double gone = Double.isNaN(requestsLeft) ? 1 : world.now - countedS;
         countedS = world.now;
         requestsLeft = Math.min(rps, (Double.isNaN(requestsLeft) ? 0 : requestsLeft) + gone * rps) - 1;
-        writesLeft = Math.min(writeRps, writesLeft + gone * writeRps) - Fields.list(body, "writes").size();
-        if (requestsLeft >= 0 && writesLeft >= 0) return false;
+        writesLeft = Math.min(writeRps, writesLeft + gone * writeRps)
+                - Fields.list(body, "writes").size();
+        if (requestsLeft >= 0 && writesLeft >= 0) {
+            return false;
+        }
         limited++;
         return true;
     }
@@ -133,19 +160,31 @@
             String after = arg(path, "after");
             List<Object> out = new ArrayList<>();
             boolean more = false;
-            for (Map.Entry<String, Row> e : rows.tailMap(after == null ? prefix : after, after == null).entrySet()) {
-                if (!e.getKey().startsWith(prefix)) break;
+            for (Map.Entry<String, Row> e :
+                    rows.tailMap(after == null ? prefix : after, after == null).entrySet()) {
+                if (!e.getKey().startsWith(prefix)) {
+                    break;
+                }
                 if (out.size() == 5) { // small pages, so that paging is exercised
                     more = true;
                     break;
                 }
-                out.add(Map.of("k", e.getKey(), "v", e.getValue().value(), "stamp", e.getValue().stamp()));
+                out.add(Map.of(
+                        "k",
+                        e.getKey(),
+                        "v",
+                        e.getValue().value(),
+                        "stamp",
+                        e.getValue().stamp()));
             }
             answer(then, 200, Map.of("rows", out, "hasNext", more, "epoch", epoch));
         } else if (path.startsWith("/kv/")) {
             Row r = rows.get(path.substring(4));
-            if (r == null) answer(then, 404, Map.of("epoch", epoch));
-            else answer(then, 200, Map.of("k", path.substring(4), "v", r.value(), "stamp", r.stamp(), "hold", r.hold()));
+            if (r == null) {
+                answer(then, 404, Map.of("epoch", epoch));
+            } else {
+                answer(then, 200, Map.of("k", path.substring(4), "v", r.value(), "stamp", r.stamp(), "hold", r.hold()));
+            }
         } else if (path.equals("/multi")) {
             Object[] a = multi(body);
             answer(then, (int) a[0], Fields.map(a[1]));
@@ -156,8 +195,9 @@
         } else {
             long id = Long.parseLong(path.split("/")[2]);
             double[] h = holds.get(id);
-            if (h == null) answer(then, 404, Map.of());
-            else {
+            if (h == null) {
+                answer(then, 404, Map.of());
+            } else {
                 h[1] = m.equals("DELETE") ? 0 : world.now + h[0];
                 expire();
                 answer(then, 200, Map.of());
@@ -167,7 +207,9 @@
 
     private static String arg(String path, String name) {
         for (String s : path.substring(path.indexOf('?') + 1).split("&")) {
-            if (s.startsWith(name + "=")) return s.substring(name.length() + 1);
+            if (s.startsWith(name + "=")) {
+                return s.substring(name.length() + 1);
+            }
         }
         return null;
     }
@@ -178,18 +220,28 @@
         for (Object o : Fields.list(body, "guards")) {
             Map<String, Object> g = Fields.map(o);
             Row r = rows.get(Fields.str(g, "k"));
-            if ((r == null ? 0 : r.stamp()) != Fields.num(g, "stamp", -1)) failed.add(g.get("k"));
+            if ((r == null ? 0 : r.stamp()) != Fields.num(g, "stamp", -1)) {
+                failed.add(g.get("k"));
+            }
         }
         List<Object> writes = Fields.list(body, "writes");
         boolean small = true;
-        if (writes.size() > opsMost) world.broken("transaction of " + writes.size() + " changes");
-        if (Json.length(body) > 64 * 1024) world.broken("transaction over 64 KiB");
+        if (writes.size() > opsMost) {
+            world.broken("transaction of " + writes.size() + " changes");
+        }
+        if (Json.length(body) > 64 * 1024) {
+            world.broken("transaction over 64 KiB");
+        }
         for (Object o : writes) {
             Map<String, Object> w = Fields.map(o);
             int size = w.containsKey("put") ? Json.length(w.get("v")) : 0;
             largestValue = Math.max(largestValue, size);
-            if (size > valueNow) small = false;
-            if (size > valueMost) world.broken("value of " + w.get("put") + " has " + size + " bytes");
+            if (size > valueNow) {
+                small = false;
+            }
+            if (size > valueMost) {
+                world.broken("value of " + w.get("put") + " has " + size + " bytes");
+            }
             if (w.get("hold") instanceof Number h && !holds.containsKey(h.longValue())) {
                 return new Object[] {400, Map.of("error", "no such lease")};
             }
@@ -198,13 +250,18 @@
             refused++;
             return new Object[] {400, Map.of("error", "too large")};
         }
-        if (!failed.isEmpty()) return new Object[] {409, Map.of("failed", failed, "epoch", epoch)};
+        if (!failed.isEmpty()) {
+            return new Object[] {409, Map.of("failed", failed, "epoch", epoch)};
+        }
         epoch++;
         for (Object o : writes) {
             Map<String, Object> w = Fields.map(o);
             String put = Fields.str(w, "put");
-            if (put != null) put(put, new Row(w.get("v"), epoch, Fields.num(w, "hold", 0)));
-            else delete(Fields.str(w, "delete"));
+            if (put != null) {
+                put(put, new Row(w.get("v"), epoch, Fields.num(w, "hold", 0)));
+            } else {
+                delete(Fields.str(w, "delete"));
+            }
         }
         return new Object[] {200, Map.of("epoch", epoch)};
     }
@@ -215,19 +272,27 @@
     }
 
     private void delete(String k) {
-        if (rows.remove(k) != null) log.add(new Entry(epoch, Map.of("delete", k, "stamp", epoch)));
+        if (rows.remove(k) != null) {
+            log.add(new Entry(epoch, Map.of("delete", k, "stamp", epoch)));
+        }
     }
 
     /** After an outage every lease has its full time again. */
     void recover() {
         outage = false;
-        for (double[] h : holds.values()) h[1] = world.now + h[0];
+        for (double[] h : holds.values()) {
+            h[1] = world.now + h[0];
+        }
     }
 
     private void expire() {
-        if (outage) return;
+        if (outage) {
+            return;
+        }
         for (long id : List.copyOf(holds.keySet())) {
-            if (holds.get(id)[1] > world.now) continue;
+            if (holds.get(id)[1] > world.now) {
+                continue;
+            }
             holds.remove(id);
             for (Map.Entry<String, Row> r : new ArrayList<>(rows.entrySet())) {
                 if (r.getValue().hold() == id) {
@@ -238,7 +303,8 @@
         }
     }
 
-    private void watch(String path, double giveUpS, java.util.function.Supplier<Link> link, Consumer<Http.Answer> then) {
+    private void watch(
+            String path, double giveUpS, java.util.function.Supplier<Link> link, Consumer<Http.Answer> then) {
         String prefix = arg(path, "prefix");
         long after = Long.parseLong(arg(path, "after"));
         double until = world.now + Long.parseLong(arg(path, "blockMs")) / 1000.0;
@@ -253,7 +319,9 @@
                 List<Object> news = new ArrayList<>();
                 for (int i = log.size() - 1; i >= 0 && log.get(i).stamp() > after; i--) {
                     Map<String, Object> n = log.get(i).news();
-                    if (String.valueOf(n.getOrDefault("put", n.get("delete"))).startsWith(prefix)) news.add(0, n);
+                    if (String.valueOf(n.getOrDefault("put", n.get("delete"))).startsWith(prefix)) {
+                        news.add(0, n);
+                    }
                 }
                 if (!news.isEmpty() || world.now >= until) {
                     answer(then, 200, Map.of("epoch", epoch, "news", news));
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/TroublesTest.java
@@ -1,5 +1,14 @@
 package org.mountlug.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -7,16 +16,6 @@
 import org.mountlug.core.model.Report;
 import org.mountlug.core.model.Team;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /**
  * Whole controllers against stand-ins in memory, through the troubles to expect. In every case the workers check that
  * nothing runs twice or after its abort, and the state service that no limit is passed.
@@ -30,7 +29,9 @@
     }
 
     private static void jobs(World w, int from, int count) {
-        for (int i = 0; i < count; i++) w.accept(id(from + i), 1 + i % 4 * 3, i % 3 == 2);
+        for (int i = 0; i < count; i++) {
+            w.accept(id(from + i), 1 + i % 4 * 3, i % 3 == 2);
+        }
     }
 
     private static void allDone(World w, int from, int count, double mostS) {
@@ -65,8 +66,12 @@
                 ends.remove(leader);
                 ends.add(0, leader);
             }
-            for (World.Node n : ends.subList(0, count)) n.restartAfter(back);
-            if (round == 0 && again > 0) w.run(again);
+            for (World.Node n : ends.subList(0, count)) {
+                n.restartAfter(back);
+            }
+            if (round == 0 && again > 0) {
+                w.run(again);
+            }
         }
         w.run(back);
         for (int i : new int[] {1, 2, 3, 4, 5, 6, 50}) {
@@ -84,7 +89,9 @@
         w.accept(id(1), 100_000, false);
         assertTrue(w.until(120, () -> w.status(id(1), 5).equals("running")));
         w.run(40);
-        for (World.Node n : w.nodes) n.restartAfter(0.5);
+        for (World.Node n : w.nodes) {
+            n.restartAfter(0.5);
+        }
         w.run(1);
         assertEquals("running", w.status(id(1), ANSWERED_S));
         w.accept(id(2), 8, false);
@@ -104,14 +111,20 @@
             case "unreadable record" -> {
                 w.state.scribble("j/" + id(900), Map.of("s", Map.of("u", 99, "n", "x"), "p", "?.?"));
                 w.state.scribble("r/" + id(901), Map.of("t", List.of("nonsense")));
-                for (World.Node n : w.nodes) n.restartAfter(1);
+                for (World.Node n : w.nodes) {
+                    n.restartAfter(1);
+                }
             }
             case "leader refused" -> leader.link = StateStandIn.Link.REFUSED;
             case "leader silent" -> leader.link = StateStandIn.Link.SILENT;
             default -> w.state.outage = true;
         }
         w.run(8);
-        if (trouble.endsWith("all ended")) for (World.Node n : w.nodes) n.restartAfter(1);
+        if (trouble.endsWith("all ended")) {
+            for (World.Node n : w.nodes) {
+                n.restartAfter(1);
+            }
+        }
         w.run(12);
         leader.link = StateStandIn.Link.GOOD;
         w.state.recover();
@@ -126,20 +139,31 @@
 
     /** A stream of work of a higher priority, or of another team, may delay a job, but never keep it from beginning. */
     @ParameterizedTest(name = "big job of {0} tasks, {1}, gang {2}, behind {3} of team {4}")
-    @CsvSource({"300, standard, false, high, t", "300, high, false, high, u", "4, standard, true, high, t",
-            "200, idle, false, prod, u", "4, high, true, high, t"})
+    @CsvSource({
+        "300, standard, false, high, t",
+        "300, high, false, high, u",
+        "4, standard, true, high, t",
+        "200, idle, false, prod, u",
+        "4, high, true, high, t"
+    })
     void noQueueStarvesAJob(int tasks, String urgency, boolean gang, String others, String team) {
         World w = new World(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 0, 0, 0, 0, 1)));
         w.capacity = 5;
         w.runS = 8;
-        for (int i = 0; i < 4; i++) w.accept(id(100 + i), 20, false, Map.of("crew", team, "urgency", others));
+        for (int i = 0; i < 4; i++) {
+            w.accept(id(100 + i), 20, false, Map.of("crew", team, "urgency", others));
+        }
         Map<String, Object> big = new HashMap<>(Map.of("urgency", urgency));
-        if (gang) big.putAll(Map.of("vcpus", 4.0));
+        if (gang) {
+            big.putAll(Map.of("vcpus", 4.0));
+        }
         w.accept(id(1), tasks, gang, big);
         for (int i = 0; i < 24; i++) {
             w.accept(id(200 + i), 30, false, Map.of("crew", team, "urgency", others));
             w.run(10);
-            if (w.status(id(1), 5).equals("running")) break;
+            if (w.status(id(1), 5).equals("running")) {
+                break;
+            }
         }
         assertTrue(List.of("running", "done").contains(w.status(id(1), 5)), w.status(id(1), 5));
         assertEquals(List.of(), w.broken());
@@ -175,8 +199,17 @@
 
     /** Orders sent straight to a worker that come late, with no answer: nothing runs twice or after its abort. */
     @ParameterizedTest(name = "{0} s late, aborted {1}, new leader {2}")
-    @CsvSource({"1, false, false", "3, true, false", "6, false, false", "6, true, false", "25, false, false",
-            "25, true, false", "45, true, false", "60, true, true", "9, false, true"})
+    @CsvSource({
+        "1, false, false",
+        "3, true, false",
+        "6, false, false",
+        "6, true, false",
+        "25, false, false",
+        "25, true, false",
+        "45, true, false",
+        "60, true, true",
+        "9, false, true"
+    })
     void lateOrdersStraightToWorkersDoNoHarm(double lateS, boolean aborted, boolean newLeader) {
         World w = new World(3);
         w.accept(id(9), 1, false);
@@ -186,12 +219,19 @@
         w.accept(id(1), 6, true);
         w.accept(id(2), 4, true);
         w.run(2);
-        if (aborted) w.nodes.get(0).abort(id(1));
-        if (newLeader) w.leader().restartAfter(1);
+        if (aborted) {
+            w.nodes.get(0).abort(id(1));
+        }
+        if (newLeader) {
+            w.leader().restartAfter(1);
+        }
         w.run(40);
         w.commandLateS = 0;
-        if (aborted) assertEquals("withdrawn", w.status(id(1), ANSWERED_S));
-        else allDone(w, 1, 1, 150);
+        if (aborted) {
+            assertEquals("withdrawn", w.status(id(1), ANSWERED_S));
+        } else {
+            allDone(w, 1, 1, 150);
+        }
         allDone(w, 2, 1, 150);
         w.run(70);
         assertEquals(List.of(), w.broken());
@@ -206,22 +246,34 @@
         jobs(w, 1, 8);
         w.run(10);
         List<Report> copies = new ArrayList<>();
-        for (World.Worker k : w.workers.values()) copies.addAll(k.sent);
-        if (newLeader) w.leader().restartAfter(6);
+        for (World.Worker k : w.workers.values()) {
+            copies.addAll(k.sent);
+        }
+        if (newLeader) {
+            w.leader().restartAfter(6);
+        }
         // One machine of an older session, and one that is gone for good.
         World.Worker cut = w.workers.values().iterator().next();
         cut.cut = true;
         w.in(14, () -> cut.cut = false);
         for (Report r : copies) {
             w.in(lateS, () -> {
-                for (World.Node n : w.nodes) if (n.up) n.controller.beat(r);
+                for (World.Node n : w.nodes) {
+                    if (n.up) {
+                        n.controller.beat(r);
+                    }
+                }
             });
         }
         w.run(lateS + 1);
         allDone(w, 1, 8, 200);
         w.run(90);
         assertTrue(w.workers.size() <= 2, "idle machines are returned in spite of the copies");
-        for (Report r : copies) for (World.Node n : w.nodes) n.controller.beat(r);
+        for (Report r : copies) {
+            for (World.Node n : w.nodes) {
+                n.controller.beat(r);
+            }
+        }
         w.run(30);
         assertEquals(List.of(), w.broken());
     }
@@ -257,7 +309,9 @@
         w.run(Math.max(0, forS - World.CANCEL_S));
         old.link = StateStandIn.Link.GOOD;
         old.cutFromPeers = false;
-        if (late) w.state.heldBack.forEach(Runnable::run);
+        if (late) {
+            w.state.heldBack.forEach(Runnable::run);
+        }
         w.runS = 2;
         w.run(5);
         assertEquals("withdrawn", w.status(id(1), ANSWERED_S));
@@ -294,7 +348,9 @@
         assertEquals("withdrawn", w.nodes.get(0).abort(id(2)).get("status"));
         allDone(w, 1, 1, 60);
         w.run(40);
-        for (World.Node n : w.nodes) n.restartAfter(0.3);
+        for (World.Node n : w.nodes) {
+            n.restartAfter(0.3);
+        }
         w.run(10);
         for (World.Node n : w.nodes) {
             assertEquals("done", n.submit(id(1), 3, false).get("status"));
@@ -309,9 +365,21 @@
 
     /** What is wrong with a body is said at once; what a job that was accepted looks like later changes nothing. */
     @ParameterizedTest(name = "{0}: {1}")
-    @CsvSource({"good, 201", "the largest, 201", "not CBOR, 400", "over 64 KiB, 400", "too many tasks, 400", "no tasks, 400",
-            "field missing, 400", "unknown shape, 400", "unknown team, 422", "fits no type, 422", "gang over limit, 422",
-            "array over limit, 201", "known already, 200"})
+    @CsvSource({
+        "good, 201",
+        "the largest, 201",
+        "not CBOR, 400",
+        "over 64 KiB, 400",
+        "too many tasks, 400",
+        "no tasks, 400",
+        "field missing, 400",
+        "unknown shape, 400",
+        "unknown team, 422",
+        "fits no type, 422",
+        "gang over limit, 422",
+        "array over limit, 201",
+        "known already, 200"
+    })
     void submissionsAreJudgedAtOnce(String what, int code) {
         World w = new World(3, List.of(new Team("t", 0, 40, 0, 0, 1)));
         w.run(5);
@@ -327,17 +395,19 @@
                 assertEquals(201, n.submit(id(1), 3, false).get("code"));
                 more.put("vcpus", -1.0);
             }
-            default -> { }
-        }
-        int tasks = switch (what) {
-            case "the largest" -> 100_000;
-            case "too many tasks" -> 100_001;
-            case "no tasks" -> 0;
-            case "gang over limit", "array over limit" -> 41;
-            default -> 3;
-        };
+            default -> {}
+        }
+        int tasks =
+                switch (what) {
+                    case "the largest" -> 100_000;
+                    case "too many tasks" -> 100_001;
+                    case "no tasks" -> 0;
+                    case "gang over limit", "array over limit" -> 41;
+                    default -> 3;
+                };
         double asked = w.now;
-        Map<String, Object> a = what.equals("not CBOR") ? n.ask(r -> n.users.submit(new byte[] {-1, 3}, r))
+        Map<String, Object> a = what.equals("not CBOR")
+                ? n.ask(r -> n.users.submit(new byte[] {-1, 3}, r))
                 : n.submit(id(1), tasks, what.startsWith("gang"), more);
         assertEquals(code, a.get("code"));
         assertTrue(w.now - asked < 0.6);
@@ -349,7 +419,9 @@
         World w = new World(3);
         w.run(5);
         List<Integer> codes = new ArrayList<>();
-        for (int i = 0; i < 400; i++) w.nodes.get(1).users.poll(id(500 + i), (status, body) -> codes.add(status));
+        for (int i = 0; i < 400; i++) {
+            w.nodes.get(1).users.poll(id(500 + i), (status, body) -> codes.add(status));
+        }
         long refused = codes.stream().filter(c -> c == 429).count();
         assertTrue(refused > 100, "at once, before any answer of the state service");
         w.run(2);
@@ -364,8 +436,11 @@
         World w = new World(3);
         w.accept(id(1), 3, false);
         w.run(5);
-        if (trouble.equals("outage")) w.state.outage = true;
-        else w.nodes.forEach(n -> n.link = StateStandIn.Link.REFUSED);
+        if (trouble.equals("outage")) {
+            w.state.outage = true;
+        } else {
+            w.nodes.forEach(n -> n.link = StateStandIn.Link.REFUSED);
+        }
         double asked = w.now;
         assertEquals(503, w.nodes.get(1).submit(id(7), 3, false).get("code"));
         assertEquals(503, w.nodes.get(1).abort(id(1)).get("code"));
@@ -381,8 +456,11 @@
         w.run(10);
         World.Node old = w.leader();
         long token = old.token();
-        if (filter) w.peersRefuse = true;
-        else old.kill();
+        if (filter) {
+            w.peersRefuse = true;
+        } else {
+            old.kill();
+        }
         w.run(3.4);
         if (filter) {
             w.run(20);
@@ -399,9 +477,19 @@
      * waking it does not act on what it believed before, and what leaves it late does no harm.
      */
     @ParameterizedTest(name = "for {0} s at {1}, aborted {2}")
-    @CsvSource({"3, any, false", "6, any, true", "14, any, true", "28, any, false", "6, /commands, true",
-            "9, /commands, false", "28, /commands, true", "6, /multi, true", "28, /multi, false", "12, /holds, true",
-            "28, /holds, false"})
+    @CsvSource({
+        "3, any, false",
+        "6, any, true",
+        "14, any, true",
+        "28, any, false",
+        "6, /commands, true",
+        "9, /commands, false",
+        "28, /commands, true",
+        "6, /multi, true",
+        "28, /multi, false",
+        "12, /holds, true",
+        "28, /holds, false"
+    })
     void aLeaderThatStoodStillDoesNoHarm(double forS, String at, boolean aborted) {
         World w = new World(3);
         w.runS = 12;
@@ -409,24 +497,38 @@
         w.run(10);
         World.Node old = w.leader();
         old.freezeForS = forS;
-        if (at.equals("any")) old.freeze(forS);
-        else old.freezeAt = at;
+        if (at.equals("any")) {
+            old.freeze(forS);
+        } else {
+            old.freezeAt = at;
+        }
         List<World.Node> others = w.nodes.stream().filter(n -> n != old).toList();
-        for (int i = 20; i < 24; i++) assertEquals(201, others.get(0).submit(id(i), 5, i % 2 == 0).get("code"));
+        for (int i = 20; i < 24; i++) {
+            assertEquals(201, others.get(0).submit(id(i), 5, i % 2 == 0).get("code"));
+        }
         assertTrue(w.until(8, () -> old.frozenUntil > 0));
         w.run(1);
         World.Node other = others.get(1);
-        if (aborted) for (int i = 20; i < 22; i++) assertEquals("withdrawn", other.abort(id(i)).get("status"));
+        if (aborted) {
+            for (int i = 20; i < 22; i++) {
+                assertEquals("withdrawn", other.abort(id(i)).get("status"));
+            }
+        }
         w.run(Math.max(0, old.frozenUntil - w.now - 0.001));
         // The first that it reads on waking is what waited in its sockets.
         if (forS > 4) {
             w.now = old.frozenUntil;
             for (World.Worker k : w.workers.values()) {
-                assertFalse(old.controller.beat(k.report()) instanceof Controller.Beat.Orders, "no answer on old belief");
+                assertFalse(
+                        old.controller.beat(k.report()) instanceof Controller.Beat.Orders, "no answer on old belief");
             }
         }
         w.run(40);
-        for (int i = 20; i < 22; i++) if (aborted) assertEquals("withdrawn", w.status(id(i), ANSWERED_S));
+        for (int i = 20; i < 22; i++) {
+            if (aborted) {
+                assertEquals("withdrawn", w.status(id(i), ANSWERED_S));
+            }
+        }
         allDone(w, 1, 6, 200);
         allDone(w, aborted ? 22 : 20, aborted ? 2 : 4, 200);
     }
@@ -438,7 +540,8 @@
         World w = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 22);
         w.runS = 80;
         w.accept(id(1), 16, false);
-        assertTrue(w.until(60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 16));
+        assertTrue(w.until(
+                60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 16));
         w.run(15);
         World.Node old = w.leader();
         old.cutFromWorkers = true;
@@ -478,7 +581,10 @@
         List<String> there = List.copyOf(w.workers.keySet());
         assertTrue(there.size() >= 5, "idle machines are left");
         w.leader().link = StateStandIn.Link.SILENT; // what is asked now is left to the next leader
-        w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow()
+        w.nodes.stream()
+                .filter(n -> n != w.leader())
+                .findFirst()
+                .orElseThrow()
                 .submit(id(3), 4 * there.size(), false, Map.of("dueS", 20.0));
         w.leader().link = StateStandIn.Link.GOOD;
         w.leader().restartAfter(back);
@@ -534,21 +640,35 @@
 
     /** Machines hang and go on: within the lease the tasks are alive, after it the session is another. */
     @ParameterizedTest(name = "for {0} s, gang {1}, new leader {2}")
-    @CsvSource({"5, false, false", "5, true, false", "8, false, true", "14, false, false", "14, true, false",
-            "14, false, true", "30, true, true"})
+    @CsvSource({
+        "5, false, false",
+        "5, true, false",
+        "8, false, true",
+        "14, false, false",
+        "14, true, false",
+        "14, false, true",
+        "30, true, true"
+    })
     void machinesThatHangRunNothingTwice(double forS, boolean gang, boolean newLeader) {
         World w = new World(3);
         w.runS = 25;
         w.accept(id(1), 12, gang);
-        assertTrue(w.until(60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 12));
+        assertTrue(w.until(
+                60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 12));
         w.run(3);
         List<World.Worker> hung = new ArrayList<>(w.workers.values());
-        for (World.Worker k : hung) k.hangsUntil = w.now + forS;
+        for (World.Worker k : hung) {
+            k.hangsUntil = w.now + forS;
+        }
         w.run(1);
-        if (newLeader) w.leader().restartAfter(0.3);
+        if (newLeader) {
+            w.leader().restartAfter(0.3);
+        }
         allDone(w, 1, 1, 200);
         int starts = w.workers.values().stream().mapToInt(k -> k.starts).sum();
-        if (forS < w.leaseS - 2.5 && !newLeader) assertEquals(12, starts, "nothing was given up");
+        if (forS < w.leaseS - 2.5 && !newLeader) {
+            assertEquals(12, starts, "nothing was given up");
+        }
         w.run(60);
         assertEquals(List.of(), w.broken());
     }
@@ -560,14 +680,18 @@
         World w = new World(3);
         w.capacity = 60;
         w.runS = 25;
-        for (int i = 1; i <= 4; i++) w.accept(id(i), 8, true);
+        for (int i = 1; i <= 4; i++) {
+            w.accept(id(i), 8, true);
+        }
         w.accept(id(5), 48, false);
-        assertTrue(w.until(60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 80));
+        assertTrue(w.until(
+                60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 80));
         int before = w.workers.size();
         int n = 0;
         for (World.Worker k : new ArrayList<>(w.workers.values())) {
-            if (n < die) k.die();
-            else if (n < die + cut) {
+            if (n < die) {
+                k.die();
+            } else if (n < die + cut) {
                 k.cut = true;
                 w.in(cutS, () -> k.cut = false);
             }
@@ -588,7 +712,8 @@
         assertTrue(w.until(60, () -> w.workers.size() == 6));
         w.run(8);
         World.Worker bad = w.workers.values().iterator().next();
-        List<String> good = w.workers.keySet().stream().filter(k -> !k.equals(bad.name)).toList();
+        List<String> good =
+                w.workers.keySet().stream().filter(k -> !k.equals(bad.name)).toList();
         bad.sick = sick;
         bad.slow = slow;
         if (badJob) {
@@ -610,7 +735,8 @@
         w.accept(id(1), 600, false, Map.of("dueS", 60.0));
         assertTrue(w.until(60, () -> w.workers.size() == 12));
         List<String> there = List.copyOf(w.workers.keySet());
-        assertTrue(w.until(30, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 48));
+        assertTrue(w.until(
+                30, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 48));
         w.run(7);
         w.leader().restartAfter(0.5);
         w.run(100);
--- a/src/test/java/org/mountlug/node/UpgradeTest.java
+++ b/src/test/java/org/mountlug/node/UpgradeTest.java
@@ -1,18 +1,17 @@
 package org.mountlug.node;
 
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.ValueSource;
-import org.mountlug.core.model.Team;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mountlug.core.model.Team;
 
 /**
  * The way from the version in production to this one while both serve, and the lowering of the state service's limits
@@ -45,7 +44,9 @@
     @CsvSource({"first, 6, none", "last, 6, none", "any, 2, none", "any, 6, old", "last, 4, new", "first, 0.3, old"})
     void jobsOutliveTheUpgrade(String leader, double apart, String alsoEnds) {
         World w = old(5);
-        for (int i = 1; i <= 6; i++) w.accept(id(i), i * 30, i % 3 == 0 && i < 6, Map.of("vcpus", i % 3 == 0 ? 0.5 : 1.0));
+        for (int i = 1; i <= 6; i++) {
+            w.accept(id(i), i * 30, i % 3 == 0 && i < 6, Map.of("vcpus", i % 3 == 0 ? 0.5 : 1.0));
+        }
         w.run(8);
         List<World.Node> order = new ArrayList<>(w.nodes);
         World.Node first = w.leader();
@@ -55,8 +56,12 @@
         }
         for (int i = 0; i < order.size(); i++) {
             order.get(i).upgradeAfter(2);
-            if (alsoEnds.equals("old") && i + 1 < order.size()) order.get(i + 1).restartAfter(0.2);
-            if (alsoEnds.equals("new") && i > 0) order.get(i - 1).restartAfter(0.2);
+            if (alsoEnds.equals("old") && i + 1 < order.size()) {
+                order.get(i + 1).restartAfter(0.2);
+            }
+            if (alsoEnds.equals("new") && i > 0) {
+                order.get(i - 1).restartAfter(0.2);
+            }
             w.run(apart);
         }
         w.run(15);
@@ -68,7 +73,9 @@
         assertEquals("running", w.status(id(8), 5));
         assertEquals(0, w.state.refused);
         // Nothing of a job that is over is left.
-        assertTrue(w.until(60, () -> w.state.keys("p/").isEmpty()), () -> w.state.keys("p/").toString());
+        assertTrue(
+                w.until(60, () -> w.state.keys("p/").isEmpty()),
+                () -> w.state.keys("p/").toString());
     }
 
     /** Until the last one has gone over, all is written as production reads it, whoever leads. */
@@ -82,7 +89,9 @@
         w.run(20);
         for (int i = 0; i < 4; i++) { // the leader changes in both directions
             World.Node l = w.leader();
-            if (l != null) l.restartAfter(1);
+            if (l != null) {
+                l.restartAfter(1);
+            }
             w.run(12);
         }
         assertEquals(List.of(), w.state.keys("p/"));
@@ -102,19 +111,25 @@
         w.capacity = 100;
         w.accept(id(1), 160, false, Map.of("ramGb", 16.0, "lane", "l".repeat(100), "bundle", "b".repeat(100)));
         w.accept(id(2), 4, false);
-        assertTrue(w.until(60, () -> org.mountlug.wire.Json.length(w.state.value("j/" + id(1))) > LEAST_KB * 1024), () -> "largest value " + w.state.largestValue + ", machines " + w.workers.size());
+        assertTrue(
+                w.until(60, () -> org.mountlug.wire.Json.length(w.state.value("j/" + id(1))) > LEAST_KB * 1024),
+                () -> "largest value " + w.state.largestValue + ", machines " + w.workers.size());
         Collections.shuffle(w.nodes, new java.util.Random(3));
-        for (World.Node n : w.nodes) n.upgradeAfter(0.5);
+        for (World.Node n : w.nodes) {
+            n.upgradeAfter(0.5);
+        }
         w.state.lower(LEAST_KB, LEAST_OPS);
         w.run(1);
         switch (what) {
             case "called off", "called off by all" -> {
                 List<World.Node> asked = what.equals("called off") ? w.nodes.subList(0, 1) : w.nodes;
                 for (World.Node n : asked) {
-                    assertTrue(w.until(40, () -> {
-                        Map<String, Object> a = n.abort(id(1));
-                        return a != null && "withdrawn".equals(a.get("status"));
-                    }), "not called off");
+                    assertTrue(
+                            w.until(40, () -> {
+                                Map<String, Object> a = n.abort(id(1));
+                                return a != null && "withdrawn".equals(a.get("status"));
+                            }),
+                            "not called off");
                 }
             }
             case "leader ends in mid-switch" -> {
@@ -125,16 +140,19 @@
                 w.state.outage = true;
                 w.in(12, w.state::recover);
             }
-            default -> {
-            }
+            default -> {}
         }
         w.accept(id(3), 40, false);
         if (what.startsWith("called off")) {
             w.run(World.CANCEL_S);
             assertEquals("withdrawn", w.status(id(1), 75));
             allDone(w, 2, 3, 600);
-        } else allDone(w, 1, 3, 600);
-        assertTrue(w.until(60, () -> w.state.keys("p/").isEmpty()), () -> w.state.keys("p/").toString());
+        } else {
+            allDone(w, 1, 3, 600);
+        }
+        assertTrue(
+                w.until(60, () -> w.state.keys("p/").isEmpty()),
+                () -> w.state.keys("p/").toString());
     }
 
     /** A change that the state service never takes keeps nobody else's from being written, and nobody from leading. */
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -1,5 +1,13 @@
 package org.mountlug.node;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.mountlug.Constants;
 import org.mountlug.api.Users;
 import org.mountlug.core.model.Cause;
@@ -16,15 +24,6 @@
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.Http;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
-
 /**
  * Controllers without sockets, a state service, a cloud and workers in memory, under a clock that the test drives. The
  * workers check the rules as they go: {@link #broken} collects what must never happen.
@@ -32,9 +31,29 @@
 final class World {
     /** Seconds of a worker's lease. */
     final double leaseS;
+
     static final double CANCEL_S = 30;
-    static final Map<String, Object> TYPE = Map.of("name", "small", "vcpus", 4.0, "cards", 0.0, "ramGb", 32.0,
-            "cacheGb", 30.0, "fetchGbPerS", 1.0, "price", 1.0, "marketPrice", 0.5, "bootS", 5.0, "sites", List.of("a"));
+    static final Map<String, Object> TYPE = Map.of(
+            "name",
+            "small",
+            "vcpus",
+            4.0,
+            "cards",
+            0.0,
+            "ramGb",
+            32.0,
+            "cacheGb",
+            30.0,
+            "fetchGbPerS",
+            1.0,
+            "price",
+            1.0,
+            "marketPrice",
+            0.5,
+            "bootS",
+            5.0,
+            "sites",
+            List.of("a"));
     static final double TYPE_CPUS = 4;
     /** Seconds within which each job must be answered about once troubles are over. */
     static final double ANSWERED_S = 75;
@@ -44,6 +63,7 @@
     double now = 1000;
     /** The limits of the state service that the controllers are told; the value's is the one to come. */
     double leastValueKb = 8;
+
     int txnOps = 8;
     private long order;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -53,11 +73,13 @@
     final Map<String, Worker> workers = new TreeMap<>();
     /** When each job's user was told that it is cancelled. */
     final Map<String, Double> cancelledAt = new HashMap<>();
+
     final Map<String, Integer> sizes = new HashMap<>();
     final Map<String, Boolean> gangs = new HashMap<>();
     private final Map<String, byte[]> bodies = new HashMap<>();
     /** Run time of every task, seconds. */
     double runS = 4;
+
     int capacity = 40;
     /** How many machines a zone has at the most, where that is less. */
     final Map<String, Integer> zoneCapacity = new HashMap<>();
@@ -67,6 +89,7 @@
     final java.util.Set<String> services = new java.util.HashSet<>();
     /** How the next so many seconds-old replicas of a service end by themselves, if they do. */
     Cause replicasEnd;
+
     boolean cloudDown;
     /** Seconds by which the cloud's list lags behind rentals. */
     double listLagS;
@@ -76,18 +99,22 @@
     double commandLateS;
     /** Orders sent straight to workers that hear nothing, to be delivered late. */
     final List<Runnable> heldCommands = new ArrayList<>();
+
     int rented;
     /** The longest time after a told cancellation at which a start took effect; negative if none did. */
     double latestStartS = -1;
+
     private final Map<String, List<Object>> hires = new HashMap<>();
     /** Zones in which machines are rented. */
     List<Object> zones = List.of("a");
     /** Seconds from a rental until its machine is up. */
     double bootS = 2;
+
     private final Map<String, Team> teams = new HashMap<>();
     private final Map<String, Asked> asked = new LinkedHashMap<>();
     /** Run when a node begins a term, before anything else reaches it. */
     final List<java.util.function.Consumer<Node>> onLead = new ArrayList<>();
+
     private long highestToken;
     /** Most that any team with a limit has used of it, as a share; shows that a test had a team at its limit. */
     double fullest;
@@ -103,9 +130,11 @@
         boolean accepted;
         /** By rank: unknown, live, over. */
         final double[] toldAt = {Double.NaN, Double.NaN, Double.NaN};
+
         String outcome;
         /** Tasks that have completed, wherever. */
         final java.util.Set<Integer> completed = new java.util.HashSet<>();
+
         double answeredAt;
         double askedAt;
         double waitsSince = Double.NaN;
@@ -137,12 +166,16 @@
         this.leastValueKb = leastValueKb;
         this.txnOps = txnOps;
         state = new StateStandIn(this, 8, 8);
-        for (Team t : teams) this.teams.put(t.name(), t);
+        for (Team t : teams) {
+            this.teams.put(t.name(), t);
+        }
         for (int i = 0; i < controllers; i++) {
             nodes.add(new Node("c-" + i, controllers, teams));
             nodes.get(i).old = old;
         }
-        for (Node n : nodes) n.boot();
+        for (Node n : nodes) {
+            n.boot();
+        }
         in(0.1, this::look);
     }
 
@@ -150,27 +183,38 @@
 
     /** Looks at all machines ten times a second, as a hung one says nothing of itself. */
     private void look() {
-        for (Worker w : workers.values()) for (Task t : w.held()) {
-            Double c = cancelledAt.get(t.job);
-            if (c != null && now > c + CANCEL_S) {
-                broken("ran_cancelled: " + t.job + "/" + t.index + " on " + w.name + " " + Math.round(now - c) + " s after");
-                cancelledAt.put(t.job, Double.POSITIVE_INFINITY); // said once
+        for (Worker w : workers.values()) {
+            for (Task t : w.held()) {
+                Double c = cancelledAt.get(t.job);
+                if (c != null && now > c + CANCEL_S) {
+                    broken("ran_cancelled: " + t.job + "/" + t.index + " on " + w.name + " " + Math.round(now - c)
+                            + " s after");
+                    cancelledAt.put(t.job, Double.POSITIVE_INFINITY); // said once
+                }
             }
         }
         for (Team t : teams.values()) {
-            if (t.cpusMax() <= 0) continue;
+            if (t.cpusMax() <= 0) {
+                continue;
+            }
             double used = used(t.name());
             fullest = Math.max(fullest, used / t.cpusMax());
-            if (used > t.cpusMax() + 1e-6) broken("quota: " + t.name() + " uses " + used);
+            if (used > t.cpusMax() + 1e-6) {
+                broken("quota: " + t.name() + " uses " + used);
+            }
         }
         in(0.1, this::look);
     }
 
     double used(String team) {
         double n = 0;
-        for (Worker w : workers.values()) for (Task t : w.held()) {
-            Asked a = asked.get(t.job);
-            if (a != null && a.team.equals(team)) n += a.cpus;
+        for (Worker w : workers.values()) {
+            for (Task t : w.held()) {
+                Asked a = asked.get(t.job);
+                if (a != null && a.team.equals(team)) {
+                    n += a.cpus;
+                }
+            }
         }
         return n;
     }
@@ -180,7 +224,9 @@
      * asked. Unknown comes before pending and running, and both before done or withdrawn, which stay as they are.
      */
     private void told(String id, double askedAt, String question, int code, Map<String, Object> body) {
-        if (code == 429 || code == 503) return;
+        if (code == 429 || code == 503) {
+            return;
+        }
         Asked a = asked.computeIfAbsent(id, k -> new Asked());
         String status = code == 200 || code == 201 ? String.valueOf(body.get("status")) : null;
         int rank = status == null ? 0 : status.equals("done") || status.equals("withdrawn") ? 2 : 1;
@@ -189,20 +235,33 @@
         }
         for (int r = rank + 1; r <= 2; r++) {
             if (a.toldAt[r] < askedAt) {
-                broken("older answer: " + question + " of " + id + " got " + code + " " + status + ", " + a.outcome + " was told");
+                broken("older answer: " + question + " of " + id + " got " + code + " " + status + ", " + a.outcome
+                        + " was told");
             }
         }
-        if (rank == 2 && a.outcome != null && !a.outcome.equals(status)) broken("went_back: " + id + " " + a.outcome + ", then " + status);
-        if (rank == 2) a.outcome = status;
+        if (rank == 2 && a.outcome != null && !a.outcome.equals(status)) {
+            broken("went_back: " + id + " " + a.outcome + ", then " + status);
+        }
+        if (rank == 2) {
+            a.outcome = status;
+        }
         // A gang completes together, so one of its tasks is enough.
         int least = gangs.getOrDefault(id, false) ? 1 : sizes.getOrDefault(id, 1);
-        if ("done".equals(status) && a.completed.size() < least) broken("not_done: " + id + " with " + a.completed.size() + " tasks done");
+        if ("done".equals(status) && a.completed.size() < least) {
+            broken("not_done: " + id + " with " + a.completed.size() + " tasks done");
+        }
         if (rank > 0) {
             a.accepted = true;
             a.answeredAt = now;
         }
-        for (int r = 1; r <= rank; r++) if (!(a.toldAt[r] <= now)) a.toldAt[r] = now;
-        if ("withdrawn".equals(status)) cancelledAt.putIfAbsent(id, now);
+        for (int r = 1; r <= rank; r++) {
+            if (!(a.toldAt[r] <= now)) {
+                a.toldAt[r] = now;
+            }
+        }
+        if ("withdrawn".equals(status)) {
+            cancelledAt.putIfAbsent(id, now);
+        }
     }
 
     /** The submission as it was first sent. */
@@ -212,7 +271,10 @@
 
     /** Jobs that were accepted. */
     List<String> accepted() {
-        return asked.entrySet().stream().filter(e -> e.getValue().accepted).map(Map.Entry::getKey).toList();
+        return asked.entrySet().stream()
+                .filter(e -> e.getValue().accepted)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     String outcome(String id) {
@@ -225,7 +287,9 @@
      */
     void settle(double mostS) {
         double from = now;
-        for (Asked a : asked.values()) a.waitsSince = Double.NaN;
+        for (Asked a : asked.values()) {
+            a.waitsSince = Double.NaN;
+        }
         int turn = 0;
         while (now < from + mostS) {
             boolean all = true;
@@ -234,44 +298,77 @@
             open.sort(java.util.Comparator.comparingDouble(id -> asked.get(id).askedAt));
             for (String id : open) {
                 Asked a = asked.get(id);
-                if (a.outcome != null) continue;
+                if (a.outcome != null) {
+                    continue;
+                }
                 // Each about every five seconds, at one node after the other, and no more than the nodes' budgets take.
                 if (now - a.askedAt > 5 && polls < 40) {
                     polls++;
                     a.askedAt = now;
                     Node n = nodes.get((turn + polls) % nodes.size());
-                    if (n.up) n.askLater("poll", id, r -> n.users.poll(id, r), null);
+                    if (n.up) {
+                        n.askLater("poll", id, r -> n.users.poll(id, r), null);
+                    }
+                }
+                if (now - Math.max(from, a.answeredAt) > ANSWERED_S) {
+                    broken("forgotten: nobody answers about " + id);
+                }
+                if (runs(id) && services.contains(id)) {
+                    continue;
+                }
+                if (runs(id) || cancelledAt.containsKey(id) || faulty.contains(id) || !room(a)) {
+                    a.waitsSince = Double.NaN;
+                } else if (Double.isNaN(a.waitsSince)) {
+                    a.waitsSince = now;
+                }
+                if (now - a.waitsSince > BESIDE_ROOM_S) {
+                    broken("waits beside room: " + id);
                 }
-                if (now - Math.max(from, a.answeredAt) > ANSWERED_S) broken("forgotten: nobody answers about " + id);
-                if (runs(id) && services.contains(id)) continue;
-                if (runs(id) || cancelledAt.containsKey(id) || faulty.contains(id) || !room(a)) a.waitsSince = Double.NaN;
-                else if (Double.isNaN(a.waitsSince)) a.waitsSince = now;
-                if (now - a.waitsSince > BESIDE_ROOM_S) broken("waits beside room: " + id);
                 all = false;
             }
-            if (all || !broken.isEmpty()) return;
+            if (all || !broken.isEmpty()) {
+                return;
+            }
             turn++;
             run(1);
         }
         for (String id : accepted()) {
-            if (asked.get(id).outcome == null && !(services.contains(id) && runs(id))) broken("not over: " + id);
+            if (asked.get(id).outcome == null && !(services.contains(id) && runs(id))) {
+                broken("not over: " + id);
+            }
         }
     }
 
     boolean runs(String id) {
-        for (Worker w : workers.values()) for (Task t : w.held()) if (t.job.equals(id)) return true;
+        for (Worker w : workers.values()) {
+            for (Task t : w.held()) {
+                if (t.job.equals(id)) {
+                    return true;
+                }
+            }
+        }
         return false;
     }
 
     private boolean room(Asked a) {
         Team t = teams.get(a.team);
-        if (t != null && t.cpusMax() > 0 && used(a.team) + a.cpus > t.cpusMax()) return false;
+        if (t != null && t.cpusMax() > 0 && used(a.team) + a.cpus > t.cpusMax()) {
+            return false;
+        }
         for (Worker w : workers.values()) {
-            if (w.gone || w.cut || w.deaf || w.mute || w.sick || w.hangsUntil > now || now < w.bornS + bootS) continue;
-            if (a.zone != null && !a.zone.equals(w.zone)) continue;
+            if (w.gone || w.cut || w.deaf || w.mute || w.sick || w.hangsUntil > now || now < w.bornS + bootS) {
+                continue;
+            }
+            if (a.zone != null && !a.zone.equals(w.zone)) {
+                continue;
+            }
             double used = 0;
-            for (Task u : w.held()) used += asked.get(u.job).cpus;
-            if (used + a.cpus <= TYPE_CPUS) return true;
+            for (Task u : w.held()) {
+                used += asked.get(u.job).cpus;
+            }
+            if (used + a.cpus <= TYPE_CPUS) {
+                return true;
+            }
         }
         return false;
     }
@@ -301,7 +398,9 @@
     /** Runs until a condition holds; false if it never did. */
     boolean until(double mostS, java.util.function.BooleanSupplier c) {
         for (double t = 0; t < mostS; t += 0.25) {
-            if (c.getAsBoolean()) return true;
+            if (c.getAsBoolean()) {
+                return true;
+            }
             run(0.25);
         }
         return c.getAsBoolean();
@@ -309,7 +408,11 @@
 
     Node leader() {
         Node best = null;
-        for (Node n : nodes) if (n.up && n.controller.leads() && (best == null || n.token() > best.token())) best = n;
+        for (Node n : nodes) {
+            if (n.up && n.controller.leads() && (best == null || n.token() > best.token())) {
+                best = n;
+            }
+        }
         return best;
     }
 
@@ -322,18 +425,22 @@
         boolean up;
         /** What it can reach. */
         StateStandIn.Link link = StateStandIn.Link.GOOD;
+
         boolean cutFromPeers;
         boolean cutFromWorkers;
         /** Whether it is in a zone that is cut off from the rest. */
         boolean inside;
+
         private int process;
         /** When it goes on, while it stands still: nothing of it runs, but its clocks do. */
         double frozenUntil;
         /** The start of a path: it stands still for so long just between deciding on such a call and sending it. */
         String freezeAt;
+
         double freezeForS;
         /** Whether its next process is of the version in production: it says nothing of itself and knows no newer field. */
         boolean old;
+
         Controller controller;
         Users users;
 
@@ -350,22 +457,62 @@
         void boot() {
             int mine = ++process;
             List<Settings.Peer> others = new ArrayList<>();
-            for (int i = 0; i < count; i++) if (!label.equals("c-" + i)) others.add(new Settings.Peer("c-" + i, "x:1"));
-            Settings s = new Settings(label, "a", "x:1", "x:2", others, "x:3", "x:4", 25, teams, List.of(), 2, leaseS,
-                    50, 6, CANCEL_S, 200, 25, 8, leastValueKb, txnOps, 4, 10, 1000, 360);
+            for (int i = 0; i < count; i++) {
+                if (!label.equals("c-" + i)) {
+                    others.add(new Settings.Peer("c-" + i, "x:1"));
+                }
+            }
+            Settings s = new Settings(
+                    label,
+                    "a",
+                    "x:1",
+                    "x:2",
+                    others,
+                    "x:3",
+                    "x:4",
+                    25,
+                    teams,
+                    List.of(),
+                    2,
+                    leaseS,
+                    50,
+                    6,
+                    CANCEL_S,
+                    200,
+                    25,
+                    8,
+                    leastValueKb,
+                    txnOps,
+                    4,
+                    10,
+                    1000,
+                    360);
             Calls plain = state.calls(this, () -> inside ? StateStandIn.Link.SILENT : link);
             Calls st = alive(mine, old ? asProduction(plain) : plain);
             StateClient client = new StateClient(st, st, () -> now, 200, count);
-            controller = new Controller(s, Operators.defaults(), client, alive(mine, World.this::cloud),
-                    a -> alive(mine, commands(a, this)), () -> now,
-                    () -> (long) (now * 1000), (r, ms) -> in(ms / 1000.0, () -> awake(() -> {
-                        if (process == mine) r.run();
-                    })), new SplittableRandom(label.hashCode() * 31L + process));
+            controller = new Controller(
+                    s,
+                    Operators.defaults(),
+                    client,
+                    alive(mine, World.this::cloud),
+                    a -> alive(mine, commands(a, this)),
+                    () -> now,
+                    () -> (long) (now * 1000),
+                    (r, ms) -> in(
+                            ms / 1000.0,
+                            () -> awake(() -> {
+                                if (process == mine) {
+                                    r.run();
+                                }
+                            })),
+                    new SplittableRandom(label.hashCode() * 31L + process));
             users = new Users(controller, client, s, () -> (long) (now * 1000));
             up = true;
             Runnable[] tick = new Runnable[1];
             tick[0] = () -> {
-                if (process != mine) return;
+                if (process != mine) {
+                    return;
+                }
                 if (frozenUntil > now) {
                     awake(tick[0]);
                     return;
@@ -377,13 +524,17 @@
             in(0, tick[0]);
             Runnable[] ask = new Runnable[1];
             ask[0] = () -> {
-                if (process != mine) return;
+                if (process != mine) {
+                    return;
+                }
                 if (frozenUntil > now) {
                     awake(ask[0]);
                     return;
                 }
                 for (Node n : nodes) {
-                    if (n == this || n.frozenUntil > now || n.cutFromPeers || cutFromPeers || n.inside != inside) continue;
+                    if (n == this || n.frozenUntil > now || n.cutFromPeers || cutFromPeers || n.inside != inside) {
+                        continue;
+                    }
                     if (!n.up || peersRefuse) {
                         controller.peerRefused(n.label);
                         continue;
@@ -405,13 +556,19 @@
                     }
                 }
                 c.call(method, path, body, ms, a -> {
-                    if (path.startsWith("/kv/j/")) known(a.body(), "v");
+                    if (path.startsWith("/kv/j/")) {
+                        known(a.body(), "v");
+                    }
                     for (String list : List.of("rows", "news")) {
                         for (Object o : Fields.list(a.body(), list)) {
                             Map<String, Object> r = Fields.map(o);
                             String k = Fields.str(r, "k", Fields.str(r, "put", ""));
-                            if (k.startsWith("j/")) known(r, "v");
-                            if (k.startsWith("p/")) broken("parts while " + label + " cannot read them");
+                            if (k.startsWith("j/")) {
+                                known(r, "v");
+                            }
+                            if (k.startsWith("p/")) {
+                                broken("parts while " + label + " cannot read them");
+                            }
                         }
                     }
                     then.accept(a);
@@ -420,8 +577,12 @@
         }
 
         private void known(Map<String, Object> m, String k) {
-            if (!(m.get(k) instanceof Map)) return;
-            if (Fields.map(m.get(k)).containsKey("K")) broken("a record with parts while " + label + " cannot read them");
+            if (!(m.get(k) instanceof Map)) {
+                return;
+            }
+            if (Fields.map(m.get(k)).containsKey("K")) {
+                broken("a record with parts while " + label + " cannot read them");
+            }
             m.put(k, org.mountlug.store.ProductionTest.throughProduction(Fields.map(m.get(k))));
         }
 
@@ -432,9 +593,13 @@
         }
 
         private void noticeLeading() {
-            if (!controller.leads() || controller.token() <= highestToken) return;
+            if (!controller.leads() || controller.token() <= highestToken) {
+                return;
+            }
             highestToken = controller.token();
-            for (var f : List.copyOf(onLead)) f.accept(this);
+            for (var f : List.copyOf(onLead)) {
+                f.accept(this);
+            }
         }
 
         /** An answer that comes after the process has ended reaches nobody. */
@@ -444,18 +609,28 @@
                     freezeAt = null;
                     freeze(freezeForS);
                 }
-                awake(() -> c.call(method, path, body, ms, a -> awake(() -> {
-                    if (process != mine) return;
-                    then.accept(a);
-                    noticeLeading();
-                })));
+                awake(() -> c.call(
+                        method,
+                        path,
+                        body,
+                        ms,
+                        a -> awake(() -> {
+                            if (process != mine) {
+                                return;
+                            }
+                            then.accept(a);
+                            noticeLeading();
+                        })));
             };
         }
 
         /** Now, or as soon as it goes on. */
         private void awake(Runnable r) {
-            if (frozenUntil > now) in(frozenUntil - now, () -> awake(r));
-            else r.run();
+            if (frozenUntil > now) {
+                in(frozenUntil - now, () -> awake(r));
+            } else {
+                r.run();
+            }
         }
 
         void freeze(double forS) {
@@ -480,24 +655,37 @@
 
         private Map<String, Object> ask(String question, String id, java.util.function.Consumer<Users.Reply> request) {
             List<Map<String, Object>> got = new ArrayList<>();
-            if (!up || frozenUntil > now) return null;
+            if (!up || frozenUntil > now) {
+                return null;
+            }
             askLater(question, id, request, got::add);
             until(5, () -> !got.isEmpty());
             return got.isEmpty() ? null : got.get(0);
         }
 
         /** The same without waiting; every answer is held against all that were sent before its question. */
-        void askLater(String question, String id, java.util.function.Consumer<Users.Reply> request,
-                      java.util.function.Consumer<Map<String, Object>> then) {
-            if (!up || frozenUntil > now) return;
+        void askLater(
+                String question,
+                String id,
+                java.util.function.Consumer<Users.Reply> request,
+                java.util.function.Consumer<Map<String, Object>> then) {
+            if (!up || frozenUntil > now) {
+                return;
+            }
             double askedAt = now;
             int mine = process;
             request.accept((status, body) -> {
-                if (process != mine) return;
+                if (process != mine) {
+                    return;
+                }
                 Map<String, Object> m = new LinkedHashMap<>(body == null ? Map.of() : body);
-                if (id != null) told(id, askedAt, question + " at " + label, status, m);
+                if (id != null) {
+                    told(id, askedAt, question + " at " + label, status, m);
+                }
                 m.put("code", status);
-                if (then != null) then.accept(m);
+                if (then != null) {
+                    then.accept(m);
+                }
             });
         }
 
@@ -538,7 +726,9 @@
             m.put("bookmarkS", 0.0);
             m.put("stashS", 0.0);
             m.putAll(more);
-            if ("daemon".equals(m.get("shape")) && !asked.getOrDefault(id, NOBODY).accepted) services.add(id);
+            if ("daemon".equals(m.get("shape")) && !asked.getOrDefault(id, NOBODY).accepted) {
+                services.add(id);
+            }
             byte[] body = Cbor.write(m);
             Asked a = asked.computeIfAbsent(id, k -> new Asked());
             if (!a.accepted) {
@@ -559,7 +749,9 @@
         }
 
         void send(String id, int tasks, boolean gang, Map<String, Object> more) {
-            if (!up) return;
+            if (!up) {
+                return;
+            }
             byte[] body = body(id, tasks, gang, more);
             askLater("submission", id, r -> users.submit(body, r), null);
         }
@@ -575,7 +767,9 @@
         for (int i = 0; i < 60; i++) {
             for (Node n : nodes) {
                 Map<String, Object> a = n.submit(id, tasks, gang, more);
-                if (a != null && ((int) a.get("code") == 201 || (int) a.get("code") == 200)) return;
+                if (a != null && ((int) a.get("code") == 201 || (int) a.get("code") == 200)) {
+                    return;
+                }
             }
             run(1);
         }
@@ -591,8 +785,12 @@
         for (double end = now + mostS; now < end; run(1)) {
             for (Node n : nodes) {
                 Map<String, Object> a = n.poll(id);
-                if (a != null && (int) a.get("code") == 200) return (String) a.get("status");
-                if (a != null && (int) a.get("code") == 404) return "unknown";
+                if (a != null && (int) a.get("code") == 200) {
+                    return (String) a.get("status");
+                }
+                if (a != null && (int) a.get("code") == 404) {
+                    return "unknown";
+                }
             }
         }
         return "unanswered";
@@ -607,18 +805,30 @@
                 return;
             }
             boolean[] over = new boolean[1];
-            Runnable carry = () -> w.command(body, a -> in(0.001, () -> {
-                if (!over[0]) then.accept(a);
-                over[0] = true;
-            }));
-            if (w.hangsUntil > now) in(ms / 1000.0, () -> {
-                if (!over[0]) then.accept(new Http.Answer(0, Map.of(), true));
-                over[0] = true;
-            });
-            if (!w.deaf && commandLateS == 0) in(0.001, carry);
-            else {
-                if (w.deaf) heldCommands.add(carry);
-                else in(commandLateS, carry);
+            Runnable carry = () -> w.command(
+                    body,
+                    a -> in(0.001, () -> {
+                        if (!over[0]) {
+                            then.accept(a);
+                        }
+                        over[0] = true;
+                    }));
+            if (w.hangsUntil > now) {
+                in(ms / 1000.0, () -> {
+                    if (!over[0]) {
+                        then.accept(new Http.Answer(0, Map.of(), true));
+                    }
+                    over[0] = true;
+                });
+            }
+            if (!w.deaf && commandLateS == 0) {
+                in(0.001, carry);
+            } else {
+                if (w.deaf) {
+                    heldCommands.add(carry);
+                } else {
+                    in(commandLateS, carry);
+                }
                 in(ms / 1000.0, () -> then.accept(new Http.Answer(0, Map.of(), true)));
             }
         };
@@ -626,8 +836,12 @@
 
     // ---- cloud ------------------------------------------------------------------------------------------------
 
-    private void cloud(io.undertow.util.HttpString method, String path, Map<String, Object> body, int timeoutMs,
-                       java.util.function.Consumer<Http.Answer> then) {
+    private void cloud(
+            io.undertow.util.HttpString method,
+            String path,
+            Map<String, Object> body,
+            int timeoutMs,
+            java.util.function.Consumer<Http.Answer> then) {
         in(0.1, () -> {
             Map<String, Object> a;
             int status = 200;
@@ -641,7 +855,9 @@
             } else if (path.equals("/hosts/release")) {
                 for (Object o : Fields.list(body, "rigs")) {
                     Worker w = workers.remove((String) o);
-                    if (w != null) w.end();
+                    if (w != null) {
+                        w.end();
+                    }
                 }
                 a = Map.of();
             } else if (path.equals("/hosts")) {
@@ -649,20 +865,41 @@
                     List<Object> l = new ArrayList<>();
                     String zone = Fields.str(body, "site", "a");
                     for (long k = Fields.num(body, "howMany", 1); k > 0 && workers.size() < capacity; k--) {
-                        if (workers.values().stream().filter(w -> w.zone.equals(zone)).count()
-                                >= zoneCapacity.getOrDefault(zone, Integer.MAX_VALUE)) break;
+                        if (workers.values().stream()
+                                        .filter(w -> w.zone.equals(zone))
+                                        .count()
+                                >= zoneCapacity.getOrDefault(zone, Integer.MAX_VALUE)) {
+                            break;
+                        }
                         l.add(worker(zone).name);
                     }
                     return l;
                 });
-                if (names.isEmpty()) status = 503;
+                if (names.isEmpty()) {
+                    status = 503;
+                }
                 a = names.isEmpty() ? Map.of("error", "no capacity") : Map.of("rigs", names);
             } else {
                 List<Object> l = new ArrayList<>();
                 for (Worker w : workers.values()) {
-                    if (now - w.bornS < listLagS) continue;
-                    l.add(Map.of("nameId", w.name, "address", w.name, "build", "small", "site", w.zone, "loaners", false,
-                            "status", now - w.diedAt > 30 ? "failed" : "running", "ageS", now - w.bornS));
+                    if (now - w.bornS < listLagS) {
+                        continue;
+                    }
+                    l.add(Map.of(
+                            "nameId",
+                            w.name,
+                            "address",
+                            w.name,
+                            "build",
+                            "small",
+                            "site",
+                            w.zone,
+                            "loaners",
+                            false,
+                            "status",
+                            now - w.diedAt > 30 ? "failed" : "running",
+                            "ageS",
+                            now - w.bornS));
                 }
                 a = Map.of("rigs", l, "hasNext", false);
             }
@@ -718,6 +955,7 @@
         boolean mute;
         /** Whether it is in a zone that is cut off from the rest. */
         boolean inside;
+
         final String zone;
         /** When it goes on, while it hangs: tasks stand still, and so does what it would hear or say. */
         double hangsUntil;
@@ -725,9 +963,11 @@
         double reportLateS;
         /** Whether a report of its was overtaken by the answer to orders sent straight here, and answered all the same. */
         boolean overtaken;
+
         private long direct;
         /** Every report sent, for late copies. */
         final List<Report> sent = new ArrayList<>();
+
         int starts;
 
         Worker(String name, String zone) {
@@ -742,8 +982,12 @@
 
         /** Tasks on the machine; a hung one that its lease has outrun will kill them before anything else. */
         List<Task> held() {
-            if (gone || now - leaseFrom > leaseS + 0.1) return List.of();
-            return tasks.values().stream().filter(t -> t.state != TaskState.EXITED).toList();
+            if (gone || now - leaseFrom > leaseS + 0.1) {
+                return List.of();
+            }
+            return tasks.values().stream()
+                    .filter(t -> t.state != TaskState.EXITED)
+                    .toList();
         }
 
         /** Stops with all that is on it; the cloud's list tells so half a minute later. */
@@ -759,7 +1003,9 @@
 
         /** Lease and running tasks, ten times a second. */
         void live() {
-            if (gone) return;
+            if (gone) {
+                return;
+            }
             if (hangsUntil > now) {
                 in(hangsUntil - now, this::live);
                 return;
@@ -771,15 +1017,21 @@
             }
             boolean changed = false;
             for (Task t : tasks.values()) {
-                if (t.state == TaskState.WAITING && together(t)) t.state = TaskState.RUNNING;
-                if (t.state != TaskState.RUNNING) continue;
+                if (t.state == TaskState.WAITING && together(t)) {
+                    t.state = TaskState.RUNNING;
+                }
+                if (t.state != TaskState.RUNNING) {
+                    continue;
+                }
                 t.ranS += 0.1 / slow;
                 boolean fails = sick || faulty.contains(t.job);
                 boolean service = services.contains(t.job);
                 if (fails || t.ranS >= runS && (!service || replicasEnd != null)) {
                     t.state = TaskState.EXITED;
                     t.cause = fails ? Cause.ERROR : service ? replicasEnd : Cause.DONE;
-                    if (t.cause == Cause.DONE && asked.containsKey(t.job)) asked.get(t.job).completed.add(t.index);
+                    if (t.cause == Cause.DONE && asked.containsKey(t.job)) {
+                        asked.get(t.job).completed.add(t.index);
+                    }
                     changed = true;
                 }
             }
@@ -788,8 +1040,12 @@
 
         private boolean together(Task t) {
             int n = 0;
-            for (Worker w : workers.values()) for (Task u : w.tasks.values()) {
-                if (u.job.equals(t.job) && u.attempt == t.attempt && u.state != TaskState.EXITED) n++;
+            for (Worker w : workers.values()) {
+                for (Task u : w.tasks.values()) {
+                    if (u.job.equals(t.job) && u.attempt == t.attempt && u.state != TaskState.EXITED) {
+                        n++;
+                    }
+                }
             }
             return n >= sizes.get(t.job);
         }
@@ -803,7 +1059,9 @@
         }
 
         void beat() {
-            if (gone) return;
+            if (gone) {
+                return;
+            }
             if (hangsUntil > now) {
                 // On waking, the lease is looked at before anything is said.
                 in(hangsUntil - now + 0.001, this::beat);
@@ -822,14 +1080,19 @@
                 if (n.frozenUntil > now) {
                     // It waits in the socket and is read on waking, when nobody waits for the answer any more.
                     in(n.frozenUntil - now, () -> {
-                        if (n.up) n.controller.beat(r);
+                        if (n.up) {
+                            n.controller.beat(r);
+                        }
                     });
                     in(5, () -> elsewhere(0));
                     return;
                 }
                 Controller.Beat b = n.up ? n.controller.beat(r) : null;
-                if (deaf) in(5, () -> elsewhere(0));
-                else in(0.002, () -> heard(b, sentAt, r.session()));
+                if (deaf) {
+                    in(5, () -> elsewhere(0));
+                } else {
+                    in(0.002, () -> heard(b, sentAt, r.session()));
+                }
             });
         }
 
@@ -839,7 +1102,9 @@
         }
 
         private void heard(Controller.Beat b, double sentAt, long inSession) {
-            if (gone) return;
+            if (gone) {
+                return;
+            }
             if (hangsUntil > now) {
                 in(hangsUntil - now + 0.001, () -> heard(now - sentAt > 4 ? null : b, sentAt, inSession));
                 return;
@@ -848,19 +1113,30 @@
                 if (inSession == session && o.token() >= token) {
                     token = o.token();
                     leaseFrom = Math.max(leaseFrom, sentAt);
-                    for (Order x : o.orders()) carryOut(x);
+                    for (Order x : o.orders()) {
+                        carryOut(x);
+                    }
                 }
                 in(o.orders().isEmpty() ? 2 : 0.5, this::beat);
-            } else if (b instanceof Controller.Beat.Elsewhere e && e.leader() != null
+            } else if (b instanceof Controller.Beat.Elsewhere e
+                    && e.leader() != null
                     && !e.leader().equals(nodes.get(at).label)) {
-                for (int i = 0; i < nodes.size(); i++) if (nodes.get(i).label.equals(e.leader())) at = i;
+                for (int i = 0; i < nodes.size(); i++) {
+                    if (nodes.get(i).label.equals(e.leader())) {
+                        at = i;
+                    }
+                }
                 in(0.2, this::beat);
-            } else elsewhere(1);
+            } else {
+                elsewhere(1);
+            }
         }
 
         /** Orders sent straight here: refused under a lower token or for another session. */
         void command(Map<String, Object> body, java.util.function.Consumer<Http.Answer> then) {
-            if (gone) return;
+            if (gone) {
+                return;
+            }
             if (hangsUntil > now) {
                 in(hangsUntil - now + 0.001, () -> command(body, then));
                 return;
@@ -870,12 +1146,14 @@
                 token = Fields.num(body, "baton", 0);
                 for (Object o : Fields.list(body, "orders")) {
                     Map<String, Object> c = Fields.map(o);
-                    Order.Verb v = switch (Fields.str(c, "verb", "")) {
-                        case "start" -> Order.Verb.START;
-                        case "kill" -> Order.Verb.STOP;
-                        default -> Order.Verb.FORGET;
-                    };
-                    carryOut(new Order(v, Fields.str(c, "piece"), Fields.num(c, "try", 0), Fields.dec(c, "leewayS", 0)));
+                    Order.Verb v =
+                            switch (Fields.str(c, "verb", "")) {
+                                case "start" -> Order.Verb.START;
+                                case "kill" -> Order.Verb.STOP;
+                                default -> Order.Verb.FORGET;
+                            };
+                    carryOut(
+                            new Order(v, Fields.str(c, "piece"), Fields.num(c, "try", 0), Fields.dec(c, "leewayS", 0)));
                 }
             }
             Report r = report();
@@ -885,13 +1163,36 @@
                 Map<String, Object> p = new HashMap<>();
                 p.put("piece", i.job() + "/" + i.task());
                 p.put("try", i.attempt());
-                p.put("status", i.state() == TaskState.EXITED ? "exited" : i.state() == TaskState.WAITING ? "gathering"
-                        : "running");
+                p.put(
+                        "status",
+                        i.state() == TaskState.EXITED
+                                ? "exited"
+                                : i.state() == TaskState.WAITING ? "gathering" : "running");
                 p.put("cause", i.cause() == Cause.DONE ? "done" : i.cause() == Cause.STOPPED ? "halted" : null);
                 pieces.add(p);
             }
-            then.accept(new Http.Answer(good ? 200 : 409, Map.of("rig", name, "address", name, "build", "small", "site",
-                    zone, "loaners", false, "stint", r.session(), "tick", r.sequence(), "baton", token, "pieces", pieces), true));
+            then.accept(new Http.Answer(
+                    good ? 200 : 409,
+                    Map.of(
+                            "rig",
+                            name,
+                            "address",
+                            name,
+                            "build",
+                            "small",
+                            "site",
+                            zone,
+                            "loaners",
+                            false,
+                            "stint",
+                            r.session(),
+                            "tick",
+                            r.sequence(),
+                            "baton",
+                            token,
+                            "pieces",
+                            pieces),
+                    true));
         }
 
         void carryOut(Order o) {
@@ -902,21 +1203,41 @@
             Task t = tasks.get(key);
             switch (o.verb()) {
                 case START -> {
-                    if (t != null) return;
-                    if (state.value("j/" + job) == null && state.value("f/" + job) == null) broken("start of unknown " + job);
+                    if (t != null) {
+                        return;
+                    }
+                    if (state.value("j/" + job) == null && state.value("f/" + job) == null) {
+                        broken("start of unknown " + job);
+                    }
                     Asked a = asked.get(job);
-                    if (a != null && a.zone != null && !a.zone.equals(zone)) broken("wrong_place: " + key + " in " + zone);
-                    for (Worker w : workers.values()) for (Task u : w.held()) {
-                        if (!u.job.equals(job)) continue;
-                        if (u.index == index) broken("ran_twice: " + o.task() + " on " + w.name + " and " + name);
-                        if (a != null && a.oneZone && !w.zone.equals(zone)) broken("wrong_place: " + key + " in two zones");
+                    if (a != null && a.zone != null && !a.zone.equals(zone)) {
+                        broken("wrong_place: " + key + " in " + zone);
+                    }
+                    for (Worker w : workers.values()) {
+                        for (Task u : w.held()) {
+                            if (!u.job.equals(job)) {
+                                continue;
+                            }
+                            if (u.index == index) {
+                                broken("ran_twice: " + o.task() + " on " + w.name + " and " + name);
+                            }
+                            if (a != null && a.oneZone && !w.zone.equals(zone)) {
+                                broken("wrong_place: " + key + " in two zones");
+                            }
+                        }
                     }
                     Double c = cancelledAt.get(job);
-                    if (c != null && now > c + CANCEL_S) broken("ran_cancelled: start of " + key);
-                    if (c != null) latestStartS = Math.max(latestStartS, now - c);
+                    if (c != null && now > c + CANCEL_S) {
+                        broken("ran_cancelled: start of " + key);
+                    }
+                    if (c != null) {
+                        latestStartS = Math.max(latestStartS, now - c);
+                    }
                     starts++;
                     t = new Task(job, index, o.attempt());
-                    if (gangs.getOrDefault(job, false)) t.state = TaskState.WAITING;
+                    if (gangs.getOrDefault(job, false)) {
+                        t.state = TaskState.WAITING;
+                    }
                     tasks.put(key, t);
                 }
                 case STOP -> {
@@ -926,7 +1247,9 @@
                     }
                 }
                 case FORGET -> {
-                    if (t != null && t.state == TaskState.EXITED) tasks.remove(key);
+                    if (t != null && t.state == TaskState.EXITED) {
+                        tasks.remove(key);
+                    }
                 }
             }
         }
--- a/src/test/java/org/mountlug/peer/PeerTest.java
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -1,18 +1,17 @@
 package org.mountlug.peer;
 
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
-import java.nio.ByteBuffer;
-import java.util.List;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
 /** Frames, and what the peers' answers prove to a leader that the state service does not serve. */
 class PeerTest {
     private final PeerView v = new PeerView(List.of("y", "z"), 20);
@@ -28,23 +27,40 @@
         ByteBuffer part = whole.duplicate().limit(10);
         assertNull(PeerCodec.next(part));
         assertEquals(a, PeerCodec.answer(PeerCodec.next(whole)));
-        assertThrows(IllegalArgumentException.class, () -> PeerCodec.next(ByteBuffer.allocate(8).putInt(1 << 20).rewind()));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> PeerCodec.next(ByteBuffer.allocate(8).putInt(1 << 20).rewind()));
     }
 
     /** A list that does not fit its frame says so; one that does is told whole. */
     @ParameterizedTest(name = "{0} ids, one of {1} characters")
-    @CsvSource({"0, 9, false", "120, 9, false", "121, 9, false", "405, 9, false", "407, 9, true", "3000, 9, true", "2, 128, true",
-            "2, 127, false"})
+    @CsvSource({
+        "0, 9, false",
+        "120, 9, false",
+        "121, 9, false",
+        "405, 9, false",
+        "407, 9, true",
+        "3000, 9, true",
+        "2, 128, true",
+        "2, 127, false"
+    })
     void aListThatDoesNotFitIsToldAsAnOverflow(int ids, int longest, boolean overflow) {
         List<String> l = new java.util.ArrayList<>();
-        for (int i = 0; i < ids; i++) l.add(String.format("wk-%06d", i));
-        if (longest > 9) l.set(0, "w".repeat(longest));
+        for (int i = 0; i < ids; i++) {
+            l.add(String.format("wk-%06d", i));
+        }
+        if (longest > 9) {
+            l.set(0, "w".repeat(longest));
+        }
         ByteBuffer b = PeerCodec.answer(new PeerCodec.Answer(5, -9, true, 77, 968, false, l));
         assertTrue(b.remaining() <= PeerCodec.FRAME_MAX);
         PeerCodec.Answer a = PeerCodec.answer(PeerCodec.next(b));
         assertEquals(overflow, a.overflow());
-        if (!overflow) assertEquals(l, a.aborts());
-        else assertTrue(a.aborts().size() < ids && l.containsAll(a.aborts()));
+        if (!overflow) {
+            assertEquals(l, a.aborts());
+        } else {
+            assertTrue(a.aborts().size() < ids && l.containsAll(a.aborts()));
+        }
     }
 
     @Test
@@ -86,14 +102,25 @@
     }
 
     @ParameterizedTest(name = "{0}")
-    @CsvSource({"refused twice and the other answers, true", "refused once, false", "the other answered before only, false",
-            "it answered after all, false", "long ago, false"})
+    @CsvSource({
+        "refused twice and the other answers, true",
+        "refused once, false",
+        "the other answered before only, false",
+        "it answered after all, false",
+        "long ago, false"
+    })
     void aPeerHasEndedOnlyIfItRefusesWhileOthersAnswer(String what, boolean ended) {
         answer("z", 9, 2, false);
         v.refused("y", 10);
-        if (!what.equals("refused once")) v.refused("y", 10.3);
-        if (!what.startsWith("the other")) answer("z", 10.2, 2, false);
-        if (what.startsWith("it answered")) answer("y", 10.4, 1, false);
+        if (!what.equals("refused once")) {
+            v.refused("y", 10.3);
+        }
+        if (!what.startsWith("the other")) {
+            answer("z", 10.2, 2, false);
+        }
+        if (what.startsWith("it answered")) {
+            answer("y", 10.4, 1, false);
+        }
         assertEquals(ended, v.ended("y", what.equals("long ago") ? 20 : 10.6));
     }
 
@@ -119,7 +146,9 @@
     /** Told again and again a job keeps its one place, and the time of its first word. */
     @Test
     void aCancellationToldAgainIsListedOnce() {
-        for (int t = 5; t < 20; t++) v.aborted("wk-000001", t);
+        for (int t = 5; t < 20; t++) {
+            v.aborted("wk-000001", t);
+        }
         assertEquals(List.of("wk-000001"), v.aborts(24));
         assertTrue(v.aborts(26).isEmpty());
         v.aborted("wk-000001", 27);
--- a/src/test/java/org/mountlug/store/ProductionTest.java
+++ b/src/test/java/org/mountlug/store/ProductionTest.java
@@ -1,5 +1,17 @@
 package org.mountlug.store;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,19 +29,6 @@
 import org.mountlug.wire.Cbor;
 import org.mountlug.wire.Json;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.util.HexFormat;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /**
  * What the version in production wrote, byte for byte as its own codecs wrote it, is read; and what is written now
  * survives that it reads a record, drops what it does not know, and writes it back.
@@ -47,8 +46,9 @@
 
     /** The fields that the version in production knows of a record, in its order; the same of a description. */
     private static final List<String> KNOWN = List.of("s", "w", "x", "a", "d", "D", "mp", "z", "p", "e");
-    private static final List<String> KNOWN_SPEC = List.of("l", "t", "g", "u", "n", "c", "q", "r", "b", "z", "o", "a", "p",
-            "i", "ig", "e", "k", "s", "d", "at");
+
+    private static final List<String> KNOWN_SPEC = List.of(
+            "l", "t", "g", "u", "n", "c", "q", "r", "b", "z", "o", "a", "p", "i", "ig", "e", "k", "s", "d", "at");
 
     /** A record after a leader of the version in production has read it and written it back. */
     public static Map<String, Object> throughProduction(Map<String, Object> m) {
@@ -62,7 +62,9 @@
 
     @Test
     void theFixturesAreAsProductionWroteThem() throws Exception {
-        String[] lines = new String(bytes("SHA256SUMS"), StandardCharsets.US_ASCII).strip().split("\n");
+        String[] lines = new String(bytes("SHA256SUMS"), StandardCharsets.US_ASCII)
+                .strip()
+                .split("\n");
         assertEquals(11, lines.length);
         for (String l : lines) {
             String[] f = l.split("\\s+");
@@ -72,18 +74,28 @@
     }
 
     @ParameterizedTest(name = "{0}")
-    @CsvSource({"fresh, 200, 0, 0, 0, 0, false, ARRAY", "half-done, 200, 90, 50, 4, 4, false, ARRAY",
-            "bit-set, 1200, -1, 40, 9, 9, false, ARRAY", "many-machines, 1200, 0, 165, 2, 2, false, ARRAY",
-            "cancelled, 20, 0, 20, 1, 1, true, ARRAY", "gang, 4, 0, 4, 3, 3, false, GANG"})
-    void itsRecordsAreRead(String name, int tasks, int done, int placed, long attempts, long last, boolean cancelled,
-                           Shape shape) throws IOException {
+    @CsvSource({
+        "fresh, 200, 0, 0, 0, 0, false, ARRAY",
+        "half-done, 200, 90, 50, 4, 4, false, ARRAY",
+        "bit-set, 1200, -1, 40, 9, 9, false, ARRAY",
+        "many-machines, 1200, 0, 165, 2, 2, false, ARRAY",
+        "cancelled, 20, 0, 20, 1, 1, true, ARRAY",
+        "gang, 4, 0, 4, 3, 3, false, GANG"
+    })
+    void itsRecordsAreRead(
+            String name, int tasks, int done, int placed, long attempts, long last, boolean cancelled, Shape shape)
+            throws IOException {
         Job j = read(name);
         assertEquals(tasks, j.spec.tasks());
-        if (done >= 0) assertEquals(done, j.done.cardinality());
-        else assertTrue(j.done.cardinality() > 700);
+        if (done >= 0) {
+            assertEquals(done, j.done.cardinality());
+        } else {
+            assertTrue(j.done.cardinality() > 700);
+        }
         assertEquals(placed, j.placed.size());
         assertEquals(attempts, j.attempts);
-        assertEquals(last, j.placed.values().stream().mapToLong(p -> p.attempt).max().orElse(0));
+        assertEquals(
+                last, j.placed.values().stream().mapToLong(p -> p.attempt).max().orElse(0));
         assertEquals(cancelled, j.cancelled);
         assertEquals(shape, j.spec.shape());
         assertEquals(List.of("meerkat", "kudu"), j.spec.types());
@@ -102,12 +114,16 @@
     void itsOtherRecordsAndFramesAreRead() throws IOException {
         assertEquals(Map.of("done", true, "n", 200L), Cbor.readMap(bytes("final-done.cbor")));
         assertEquals(Map.of("done", false, "n", 20L), Cbor.readMap(bytes("final-cancelled.cbor")));
-        assertEquals(RecordCodec.over(true, 200).keySet(), Cbor.readMap(bytes("final-done.cbor")).keySet());
-        assertEquals(List.of(new Reservation(0, "n-000012"), new Reservation(1, "n-000044")),
+        assertEquals(
+                RecordCodec.over(true, 200).keySet(),
+                Cbor.readMap(bytes("final-done.cbor")).keySet());
+        assertEquals(
+                List.of(new Reservation(0, "n-000012"), new Reservation(1, "n-000044")),
                 RecordCodec.reservations(Cbor.readMap(bytes("reservations.cbor"))));
         PeerCodec.Answer a = new PeerCodec.Answer(5, -77, true, 41, 12, false, List.of("wk-000105", "wk-000001"));
         assertEquals(a, PeerCodec.answer(PeerCodec.next(ByteBuffer.wrap(bytes("peer-answer.cbor")))));
-        // What we say is what it would say, to the byte; a longer frame of a later version is understood as far as it goes.
+        // What we say is what it would say, to the byte; a longer frame of a later version is understood as far as it
+        // goes.
         assertEquals(ByteBuffer.wrap(bytes("peer-answer.cbor")), PeerCodec.answer(a));
         assertEquals(ByteBuffer.wrap(bytes("peer-question.cbor")), PeerCodec.question(5));
         byte[] longer = java.util.Arrays.copyOf(bytes("peer-answer.cbor"), bytes("peer-answer.cbor").length + 9);
@@ -162,10 +178,12 @@
         assertEquals(j.placed.keySet(), k.placed.keySet());
         j.placed.forEach((t, p) -> {
             var q = k.placed.get((int) t);
-            assertEquals(List.of(p.machine, p.zone, p.session, p.attempt), List.of(q.machine, q.zone, q.session, q.attempt));
+            assertEquals(
+                    List.of(p.machine, p.zone, p.session, p.attempt), List.of(q.machine, q.zone, q.session, q.attempt));
         });
         assertEquals(j.failures, k.failures);
-        assertEquals(List.of(j.done.cardinality(), j.placed.size()),
+        assertEquals(
+                List.of(j.done.cardinality(), j.placed.size()),
                 List.of(RecordCodec.counts(own)[0], RecordCodec.counts(own)[1]));
     }
 
--- a/src/test/java/org/mountlug/store/RecordCodecTest.java
+++ b/src/test/java/org/mountlug/store/RecordCodecTest.java
@@ -1,22 +1,21 @@
 package org.mountlug.store;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mountlug.Samples;
-import org.mountlug.wire.Json;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.Placement;
 import org.mountlug.wire.Cbor;
-
-import java.io.IOException;
-import java.util.List;
-import java.util.Random;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.mountlug.wire.Json;
 
 /** Records survive the trip to the state service, and the largest job's fits the value limit. */
 class RecordCodecTest {
@@ -31,8 +30,11 @@
         Machine m = Samples.up(c, "n-1", "small", "a");
         Job j = Samples.live(c, Samples.array("wk-000001", tasks));
         for (int t = 0; t < tasks; t++) {
-            if (t % 3 != 1) j.done.set(t);
-            else c.place(j, t, ++j.attempts, m, 0);
+            if (t % 3 != 1) {
+                j.done.set(t);
+            } else {
+                c.place(j, t, ++j.attempts, m, 0);
+            }
         }
         j.failures.put(0, 4);
         Job k = trip(j);
@@ -47,8 +49,17 @@
 
     /** However tasks are placed within the room and end again, and whatever the machines, no record passes its limit. */
     @ParameterizedTest(name = "{0} tasks, {1} to a machine, order of ends {2}")
-    @CsvSource({"350, 1, random", "350, 16, random", "1200, 2, random", "1200, 12, random", "1200, 12, every other",
-            "5000, 1, random", "5000, 12, every other", "100000, 12, random", "100000, 2, every other"})
+    @CsvSource({
+        "350, 1, random",
+        "350, 16, random",
+        "1200, 2, random",
+        "1200, 12, random",
+        "1200, 12, every other",
+        "5000, 1, random",
+        "5000, 12, every other",
+        "100000, 12, random",
+        "100000, 2, every other"
+    })
     void theRoomOfARecordIsNeverPassed(int tasks, int each, String order) throws IOException {
         Random random = new Random(tasks + each);
         Cluster c = Samples.cluster();
@@ -59,7 +70,9 @@
             j.attempts++;
             Machine m = null;
             for (int t = j.done.nextClearBit(0), k = 0; t < tasks && k < room; t++) {
-                if (j.done.get(t) || j.placed.containsKey(t)) continue;
+                if (j.done.get(t) || j.placed.containsKey(t)) {
+                    continue;
+                }
                 if (k++ % each == 0) {
                     m = new Machine(String.format("n-%06d", random.nextInt(1_000_000)), 0);
                     m.zone = k % 3 == 0 ? "a" : "b";
@@ -69,7 +82,9 @@
             }
             most = Math.max(most, j.placed.size());
             for (int t : j.placed.keySet().toIntArray()) {
-                if (order.equals("random") ? random.nextInt(4) != 0 : t % 2 == round % 2) continue;
+                if (order.equals("random") ? random.nextInt(4) != 0 : t % 2 == round % 2) {
+                    continue;
+                }
                 j.placed.remove(t);
                 j.done.set(t);
             }
@@ -79,7 +94,9 @@
             assertEquals(j.placed.keySet(), k.placed.keySet());
             j.placed.forEach((t, p) -> {
                 Placement q = k.placed.get((int) t);
-                assertEquals(List.of(p.machine, p.zone, p.session, p.attempt), List.of(q.machine, q.zone, q.session, q.attempt));
+                assertEquals(
+                        List.of(p.machine, p.zone, p.session, p.attempt),
+                        List.of(q.machine, q.zone, q.session, q.attempt));
             });
             int[] counts = RecordCodec.counts(RecordCodec.job(j, "7.1"));
             assertEquals(List.of(j.done.cardinality(), j.placed.size()), List.of(counts[0], counts[1]));
