--- a/src/main/java/org/mountlug/agent/AgentCodec.java
+++ b/src/main/java/org/mountlug/agent/AgentCodec.java
@@ -80,6 +80,7 @@
         };
     }
 
+    /** The body that answers a worker's report. */
     public static Map<String, Object> answer(long token, List<Order> orders) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("baton", token);
@@ -87,6 +88,7 @@
         return m;
     }
 
+    /** The body of a direct command, bound to one session of the worker. */
     public static Map<String, Object> command(long token, long session, List<Order> orders) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("baton", token);
--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -25,6 +25,7 @@
     private final Controller node;
     private final Users users;
 
+    /** Serves users and workers of this controller. */
     public Api(Controller node, Users users) {
         this.node = node;
         this.users = users;
--- a/src/main/java/org/mountlug/api/JobParser.java
+++ b/src/main/java/org/mountlug/api/JobParser.java
@@ -17,6 +17,9 @@
 public final class JobParser {
     /** What is wrong with a body. */
     public static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1;
+
+        /** Names the field or the reason in the message that its user gets. */
         public Malformed(String m) {
             super(m);
         }
@@ -37,6 +40,7 @@
         return true;
     }
 
+    /** Reads a submission; throws if a field is missing, of the wrong type or out of range. */
     public static JobSpec parse(Map<String, Object> m, long nowMs) throws Malformed {
         String id = text(m, "nameId");
         if (!validId(id)) {
--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -24,6 +24,7 @@
 
     /** How an answer leaves; a null body sends none. */
     public interface Reply {
+        /** Answers the request; called once. */
         void send(int status, Map<String, Object> body);
     }
 
@@ -33,6 +34,7 @@
     private final Map<String, Team> teams = new HashMap<>();
     private final int valueBytes;
 
+    /** Decides the requests of users that reach this controller. */
     public Users(Controller node, StateClient state, Settings settings, LongSupplier epochMs) {
         this.node = node;
         this.state = state;
@@ -109,6 +111,7 @@
         x.send(200, status(id, "withdrawn", 0, 0));
     }
 
+    /** Answers a question about the state of a job. */
     public void poll(String id, Reply x) {
         if (!JobParser.validId(id)) {
             x.send(404, null);
@@ -209,6 +212,7 @@
         });
     }
 
+    /** Cancels a job, or answers that it is done already. */
     public void abort(String id, Reply x) {
         abort(x, id, Constants.ABORT_TRIES);
     }
--- a/src/main/java/org/mountlug/cli/Main.java
+++ b/src/main/java/org/mountlug/cli/Main.java
@@ -21,6 +21,7 @@
 
     private Main() {}
 
+    /** Runs the command line; ends the process unless it serves. */
     public static void main(String[] args) {
         int code = run(args);
         if (code >= 0) {
--- a/src/main/java/org/mountlug/cloud/CloudCodec.java
+++ b/src/main/java/org/mountlug/cloud/CloudCodec.java
@@ -14,6 +14,7 @@
 public final class CloudCodec {
     private CloudCodec() {}
 
+    /** Reads the machine types, from the cloud or as the state service keeps them. */
     public static List<MachineType> catalogue(Map<String, Object> m) {
         List<MachineType> out = new ArrayList<>();
         for (Object o : Fields.list(m, "builds")) {
@@ -58,6 +59,7 @@
         return m;
     }
 
+    /** The body of a rental request. */
     public static Map<String, Object> rent(Rental r) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("hire", r.name());
@@ -68,15 +70,18 @@
         return m;
     }
 
+    /** The names of the machines that a rental has brought. */
     public static List<String> rented(Map<String, Object> m) {
         List<String> l = Fields.strings(m, "rigs");
         return l == null ? List.of() : l;
     }
 
+    /** The body of a request to return machines. */
     public static Map<String, Object> release(List<String> names) {
         return Map.of("rigs", names);
     }
 
+    /** The machines of one page of the list. */
     public static List<Listed> listed(Map<String, Object> m) {
         List<Listed> out = new ArrayList<>();
         for (Object o : Fields.list(m, "rigs")) {
@@ -103,6 +108,7 @@
         return out;
     }
 
+    /** Whether another page of the list follows. */
     public static boolean more(Map<String, Object> m) {
         return Fields.bool(m, "hasNext");
     }
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -33,6 +33,7 @@
     private final double cheapestPrice;
     private int placedCount;
 
+    /** Makes the view of the usable machines for one round; {@code dueOrder} sorts jobs within a queue. */
     public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, ReplicaTimes times, double nowS) {
         this.cluster = cluster;
         this.times = times;
@@ -55,10 +56,12 @@
         cheapestPrice = Math.max(least, 1e-6);
     }
 
+    /** The view of the machines as this round leaves it. */
     public Map<String, Node> nodes() {
         return nodes;
     }
 
+    /** What each team uses, this round included. */
     public Map<String, Resources> usage() {
         return usage;
     }
--- a/src/main/java/org/mountlug/core/allocate/Node.java
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -19,10 +19,12 @@
     /** The same of any class: what a service leaves, as it stays for as long as its user wishes. */
     private final Resources companionsOfAll;
 
+    /** A view of a machine on which nothing is kept for accelerator work. */
     public Node(Machine m) {
         this(m, Resources.ZERO, Resources.ZERO);
     }
 
+    /** A view of a machine that keeps these parts of it for accelerator work, of higher priority and of any. */
     public Node(Machine m, Resources companions, Resources companionsOfAll) {
         this.companions = companions;
         this.companionsOfAll = companionsOfAll;
@@ -92,6 +94,7 @@
                 Math.min(Math.min(idle.ramGb(), f.ramGb()), beside.ramGb())));
     }
 
+    /** The share of the machine that is taken, by its scarcest resource. */
     public double busyShare() {
         Resources size = machine.type.size();
         return size.minus(idle).shareOf(size);
--- a/src/main/java/org/mountlug/core/allocate/Statement.java
+++ b/src/main/java/org/mountlug/core/allocate/Statement.java
@@ -16,10 +16,12 @@
     public final Job job;
     private final List<Op> ops = new ArrayList<>();
 
+    /** Begins to try one job. */
     public Statement(Job job) {
         this.job = job;
     }
 
+    /** Gives idle room to a task. */
     public void allocate(int task, Node n) {
         n.idle = n.idle.minus(job.spec.need());
         if (job.spec.need().gpus() == 0) {
@@ -28,15 +30,18 @@
         ops.add(new Op(task, n, false));
     }
 
+    /** Reserves room that is being released for a task. */
     public void pipeline(int task, Node n) {
         n.pipelined = n.pipelined.plus(job.spec.need());
         ops.add(new Op(task, n, true));
     }
 
+    /** What has been tried so far, in order. */
     public List<Op> ops() {
         return ops;
     }
 
+    /** How many tasks have been given idle room. */
     public int allocated() {
         int k = 0;
         for (Op o : ops) {
@@ -73,6 +78,7 @@
         return l;
     }
 
+    /** Gives back all room that was taken. */
     public void discard() {
         for (int i = ops.size() - 1; i >= 0; i--) {
             Op o = ops.get(i);
--- a/src/main/java/org/mountlug/core/allocate/TeamQueues.java
+++ b/src/main/java/org/mountlug/core/allocate/TeamQueues.java
@@ -29,6 +29,7 @@
     private final Map<String, Resources> usage;
     private final Resources whole;
 
+    /** Sorts the jobs into their queues; {@code whole} is the room of all machines together. */
     public TeamQueues(
             Iterable<Job> jobs,
             ToDoubleFunction<Job> dueOrder,
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -71,12 +71,14 @@
     /** Whether a service waited for room in the last round. */
     public boolean serviceWaits;
 
+    /** Whether room came free for somebody who waits for it, since the last call. */
     public boolean roomCameFree() {
         boolean f = roomCameFree;
         roomCameFree = false;
         return f;
     }
 
+    /** An empty picture for the term with this fencing token. */
     public Cluster(long token, double leaseS, Collection<Team> teams) {
         this.token = token;
         this.leaseS = leaseS;
@@ -171,18 +173,22 @@
         return (int) Math.max(0, Math.floor((recordChars - used - done) / each));
     }
 
+    /** The fencing token of this term. */
     public long token() {
         return token;
     }
 
+    /** The teams that the settings name. */
     public Collection<Team> teams() {
         return teams.values();
     }
 
+    /** The team of this name, or null. */
     public Team team(String name) {
         return teams.get(name);
     }
 
+    /** The machine types that are known. */
     public Collection<MachineType> types() {
         return types.values();
     }
@@ -194,10 +200,12 @@
         return l;
     }
 
+    /** Leaves a line for the log. */
     public void note(String s) {
         notes.add(s);
     }
 
+    /** Takes in the machine types with their current prices. */
     public void catalogue(Collection<MachineType> l) {
         for (MachineType t : l) {
             types.put(t.name(), t);
@@ -209,6 +217,7 @@
         }
     }
 
+    /** The machine type of this name, or null. */
     public MachineType type(String name) {
         return types.get(name);
     }
@@ -911,6 +920,7 @@
         return m;
     }
 
+    /** Takes in a machine that was just rented and has yet to boot. */
     public void rented(String name, String type, String zone, boolean spot, double nowS) {
         if (departed.containsKey(name) || machines.containsKey(name)) {
             return;
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -88,6 +88,7 @@
     /** Steady seconds of the end of its last longer silence: what ran then is not known to have ended when reported. */
     double gapS = Double.NEGATIVE_INFINITY;
 
+    /** A machine of which nothing but its name is known. */
     public Machine(String name, double nowS) {
         this.name = name;
         this.heardS = nowS;
@@ -95,6 +96,7 @@
         this.idleSinceS = nowS;
     }
 
+    /** Names one attempt of a task. */
     public static String key(String job, int task, long attempt) {
         return job + "/" + task + "#" + attempt;
     }
@@ -109,6 +111,7 @@
         return type != null && up && synced && !deaf && !releasing && !sick && Double.isNaN(takenS);
     }
 
+    /** What its placements take, those on standby left out. */
     public Resources used() {
         Resources r = Resources.ZERO;
         for (Placement p : placed.values()) {
@@ -119,6 +122,7 @@
         return r;
     }
 
+    /** The part of {@link #used} whose tasks were told to stop. */
     public Resources stopping() {
         Resources r = Resources.ZERO;
         for (Placement p : placed.values()) {
@@ -148,6 +152,7 @@
         return r;
     }
 
+    /** Whether nothing is placed or running here. */
     public boolean empty() {
         return placed.isEmpty() && strays.isEmpty();
     }
--- a/src/main/java/org/mountlug/core/lead/Election.java
+++ b/src/main/java/org/mountlug/core/lead/Election.java
@@ -43,22 +43,27 @@
         this.nonce = nonce;
     }
 
+    /** Whether this controller holds the leader key as far as it knows. */
     public boolean leading() {
         return leading;
     }
 
+    /** The fencing token of the current or last term. */
     public long token() {
         return token;
     }
 
+    /** The lease that this controller has opened, 0 if none. */
     public long hold() {
         return hold;
     }
 
+    /** The lease that has to be dropped, 0 if none. */
     public long oldHold() {
         return oldHold;
     }
 
+    /** Tells this process from others of the same label. */
     public String nonce() {
         return nonce;
     }
@@ -73,6 +78,7 @@
         return leading && nowS < validUntilS;
     }
 
+    /** The step to take now; its outcome has to be told before there is another. */
     public Step next(double nowS) {
         if (busy) {
             return Step.NONE;
@@ -179,18 +185,21 @@
         }
     }
 
+    /** The request to drop the old lease has been answered. */
     public void oldHoldDropped(double nowS) {
         busy = false;
         oldHold = 0;
         nextLookS = nowS;
     }
 
+    /** A lease was opened by a request that was sent at {@code askedS}. */
     public void holdOpened(double askedS, long id) {
         busy = false;
         hold = id;
         lastRenewS = askedS;
     }
 
+    /** A campaign was answered; {@code epoch} is the token if it was won. */
     public void campaigned(double nowS, boolean success, long epoch) {
         busy = false;
         if (success) {
@@ -237,6 +246,7 @@
         nextLookS = 0;
     }
 
+    /** The revision of another controller's leader key, as last read. */
     public long seenStamp() {
         return seenStamp;
     }
--- /dev/null
+++ b/src/main/java/org/mountlug/core/lead/package-info.java
@@ -0,0 +1,2 @@
+/** The election of one leader by a key on a lease. */
+package org.mountlug.core.lead;
--- a/src/main/java/org/mountlug/core/model/Aims.java
+++ b/src/main/java/org/mountlug/core/model/Aims.java
@@ -18,10 +18,12 @@
     private final Map<String, Double> wait = new HashMap<>();
     private final Map<String, Double> finished = new HashMap<>();
 
+    /** Tells within how many seconds tasks of a class should start. */
     public void wait(String lane, double withinS) {
         wait.merge(lane, withinS, Math::min);
     }
 
+    /** Tells within how many seconds jobs of a class should be done. */
     public void finished(String lane, double withinS) {
         finished.merge(lane, withinS, Math::min);
     }
--- a/src/main/java/org/mountlug/core/model/Job.java
+++ b/src/main/java/org/mountlug/core/model/Job.java
@@ -58,6 +58,7 @@
     /** Steady seconds since which it waits: when it was submitted, as far as the clocks agree. */
     public double seenS;
 
+    /** A job of which no task has been placed. */
     public Job(JobSpec spec) {
         this.spec = spec;
         this.written = spec;
@@ -81,6 +82,7 @@
         urgent |= soon;
     }
 
+    /** Whether something of it has changed that is not durable yet. */
     public boolean dirty() {
         if (staged != null) {
             return true;
@@ -110,14 +112,17 @@
         return changed.length;
     }
 
+    /** Whether its record is stored in parts. */
     public boolean split() {
         return changed.length > 1;
     }
 
+    /** How many tasks stand in the job's own record. */
     public int ownTasks() {
         return Math.min(ownTasks, spec.tasks());
     }
 
+    /** How many tasks stand in each further part. */
     public int partTasks() {
         return partTasks;
     }
@@ -240,6 +245,7 @@
         return complete() && !cancelled;
     }
 
+    /** How many tasks are neither done nor placed. */
     public int open() {
         return spec.tasks() - done.cardinality() - placed.size();
     }
@@ -252,6 +258,7 @@
                 && notBefore.getOrDefault(task, 0.0) <= nowS;
     }
 
+    /** How many of its tasks are placed in the zone. */
     public int placedIn(String zone) {
         int n = 0;
         for (Placement p : placed.values()) {
--- a/src/main/java/org/mountlug/core/model/JobSpec.java
+++ b/src/main/java/org/mountlug/core/model/JobSpec.java
@@ -25,6 +25,7 @@
         double deadlineS,
         long submittedMs) {
 
+    /** Whether all tasks run at the same time or none does. */
     public boolean gang() {
         return shape == Shape.GANG;
     }
@@ -88,6 +89,7 @@
         return apart ? (tasks + 1) / 2 : tasks;
     }
 
+    /** The name of a task on the wire. */
     public String taskName(int task) {
         return id + "/" + task;
     }
--- a/src/main/java/org/mountlug/core/model/MachineType.java
+++ b/src/main/java/org/mountlug/core/model/MachineType.java
@@ -12,6 +12,7 @@
         double spotPrice,
         double bootS,
         List<String> zones) {
+    /** The current price an hour, of a spot machine or an ordinary one. */
     public double price(boolean spot) {
         return spot ? spotPrice : price;
     }
--- a/src/main/java/org/mountlug/core/model/Placement.java
+++ b/src/main/java/org/mountlug/core/model/Placement.java
@@ -45,6 +45,7 @@
 
     public double leewayS;
 
+    /** An attempt that stands in the job as of {@code version} and has not been started. */
     public Placement(
             Job job, int task, long attempt, String machine, String zone, long session, long version, double sinceS) {
         this.job = job;
@@ -57,6 +58,7 @@
         this.sinceS = sinceS;
     }
 
+    /** Decides that it must stop, with so many seconds to save; a stop is never taken back. */
     public void stop(double leeway) {
         if (!stopping || leeway < leewayS) {
             leewayS = leeway;
@@ -64,6 +66,7 @@
         stopping = true;
     }
 
+    /** The name of its task on the wire. */
     public String name() {
         return job.spec.taskName(task);
     }
--- a/src/main/java/org/mountlug/core/model/Report.java
+++ b/src/main/java/org/mountlug/core/model/Report.java
@@ -17,6 +17,7 @@
     /** One attempt on the machine. */
     public record Item(String job, int task, long attempt, TaskState state, Cause cause, boolean saved) {}
 
+    /** Whether it was made after the report of this session and sequence. */
     public boolean newerThan(long s, long q) {
         return session > s || session == s && sequence > q;
     }
--- a/src/main/java/org/mountlug/core/model/Resources.java
+++ b/src/main/java/org/mountlug/core/model/Resources.java
@@ -5,10 +5,12 @@
     public static final Resources ZERO = new Resources(0, 0, 0);
     private static final double EPS = 1e-6;
 
+    /** The sum of both. */
     public Resources plus(Resources o) {
         return new Resources(cpus + o.cpus, gpus + o.gpus, ramGb + o.ramGb);
     }
 
+    /** What is left after the other is taken away; may be negative. */
     public Resources minus(Resources o) {
         return new Resources(cpus - o.cpus, gpus - o.gpus, ramGb - o.ramGb);
     }
@@ -48,6 +50,7 @@
         return s;
     }
 
+    /** Whether there is nothing of any kind. */
     public boolean isZero() {
         return cpus <= EPS && gpus <= EPS && ramGb <= EPS;
     }
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -30,10 +30,12 @@
     private final Map<String, Double> lastFor = new HashMap<>();
     private ReplicaTimes times;
 
+    /** Decides for the jobs and machines of this cluster. */
     public Preemptor(Cluster cluster) {
         this.cluster = cluster;
     }
 
+    /** Stops tasks to make room for jobs that the round before could not place, the most urgent first. */
     public void round(
             Collection<Job> unplaced,
             Map<String, Node> nodes,
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -36,6 +36,7 @@
 
     private long counter;
 
+    /** Decides for the machines of this cluster; {@code spotRisk} is a factor on spot prices. */
     public Scaler(Cluster cluster, Aims aims, double leaseS, double reportS, double idleKeepS, double spotRisk) {
         this.cluster = cluster;
         this.aims = aims;
@@ -49,6 +50,7 @@
         return type + "|" + zone + "|" + spot;
     }
 
+    /** The cloud has no more machines of this kind for now. */
     public void refused(Rental r, double nowS) {
         exhausted.put(kind(r.type(), r.zone(), r.spot()), nowS + Constants.NO_CAPACITY_S);
     }
--- /dev/null
+++ b/src/main/java/org/mountlug/core/scale/package-info.java
@@ -0,0 +1,2 @@
+/** Which machines are rented and returned. */
+package org.mountlug.core.scale;
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -394,6 +394,7 @@
 
     // ---- peers ------------------------------------------------------------------------------------------------
 
+    /** What this controller tells another one that asks. */
     public PeerCodec.Answer tellPeer(long serial) {
         double now = clockS.getAsDouble();
         return new PeerCodec.Answer(
@@ -404,6 +405,7 @@
         return election.leading() ? election.token() : election.seenStamp();
     }
 
+    /** Takes in what another controller has answered. */
     public void heardPeer(String label, Peers.Heard h) {
         double now = clockS.getAsDouble();
         peerView.answered(label, h.askedS(), now, h.answer());
@@ -477,10 +479,12 @@
 
     // ---- for the interface ------------------------------------------------------------------------------------
 
+    /** The machine types by name; empty until they have been read. */
     public Map<String, MachineType> knownTypes() {
         return types;
     }
 
+    /** The meters of this controller. */
     public Metrics metrics() {
         return metrics;
     }
@@ -491,11 +495,13 @@
         return s == null ? null : (Boolean) s.done();
     }
 
+    /** How many tasks a job had whose final state is cached, else 0. */
     public int finalTasks(String id) {
         FinalStates.State s = finals.get(id);
         return s == null ? 0 : s.tasks();
     }
 
+    /** Caches the final state of a job. */
     public void learnFinal(String id, boolean done, int tasks) {
         finals.put(id, done, tasks);
     }
@@ -527,6 +533,7 @@
         record Blind() implements Beat {}
     }
 
+    /** Takes in a worker's report and decides the answer. */
     public Beat beat(Report r) {
         metrics.beat();
         reports.add(clockS.getAsDouble());
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -52,6 +52,7 @@
         return System.nanoTime() / 1e9;
     }
 
+    /** Opens the sockets and starts the clock. */
     public void start() throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -22,35 +22,43 @@
     private final AtomicInteger leading = new AtomicInteger();
     private PrometheusMeterRegistry registry;
 
+    /** Counts tasks that a round has placed. */
     public void placed(int n) {
         placed.addAndGet(n);
     }
 
+    /** Counts a job that is over, done or cancelled. */
     public void finished(boolean complete) {
         (complete ? done : cancelled).incrementAndGet();
     }
 
+    /** Counts a worker's report. */
     public void beat() {
         beats.incrementAndGet();
     }
 
+    /** Counts a submission, whatever its answer. */
     public void submitted() {
         submissions.incrementAndGet();
     }
 
+    /** Shows how many live jobs and machines the leader knows. */
     public void fleet(int liveJobs, int knownMachines) {
         jobs.set(liveJobs);
         machines.set(knownMachines);
     }
 
+    /** Shows how many gangs hold reservations. */
     public void reserved(int gangs) {
         reservations.set(gangs);
     }
 
+    /** Shows whether this controller leads. */
     public void leading(boolean is) {
         leading.set(is ? 1 : 0);
     }
 
+    /** All meters in the Prometheus text format. */
     public synchronized String scrape() {
         if (registry == null) {
             registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/src/main/java/org/mountlug/peer/PeerCodec.java
+++ b/src/main/java/org/mountlug/peer/PeerCodec.java
@@ -25,12 +25,14 @@
 
     private PeerCodec() {}
 
+    /** A frame that asks a peer about itself. */
     public static ByteBuffer question(long serial) {
         ByteBuffer b = ByteBuffer.allocate(12);
         b.putInt(8).putLong(serial).flip();
         return b;
     }
 
+    /** A frame that answers a question. */
     public static ByteBuffer answer(Answer a) {
         ByteBuffer b = ByteBuffer.allocate(FRAME_MAX);
         b.putInt(0)
@@ -72,6 +74,7 @@
         return f;
     }
 
+    /** Reads the payload of an answer. */
     public static Answer answer(ByteBuffer f) {
         long serial = f.getLong();
         long boot = f.getLong();
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -27,6 +27,7 @@
     private final Map<String, Known> known = new HashMap<>();
     private final ArrayDeque<Abort> aborts = new ArrayDeque<>();
 
+    /** A view of these peers, each of which lists its cancellations for {@code keepS} seconds. */
     public PeerView(List<String> peers, double keepS) {
         this.peers = peers;
         this.keepS = keepS;
@@ -46,6 +47,7 @@
         aborts.addLast(new Abort(id, nowS));
     }
 
+    /** The cancellations that this controller has to list now. */
     public synchronized List<String> aborts(double nowS) {
         List<String> l = new ArrayList<>();
         for (Abort a : aborts) {
@@ -56,6 +58,7 @@
         return l;
     }
 
+    /** A peer has answered a question that was asked at {@code askedS}. */
     public synchronized void answered(String peer, double askedS, double nowS, PeerCodec.Answer a) {
         Known k = known.get(peer);
         // Aborts are listed for keepS only, so a longer gap, like a new process or an overflow, starts anew.
--- a/src/main/java/org/mountlug/peer/Peers.java
+++ b/src/main/java/org/mountlug/peer/Peers.java
@@ -47,6 +47,7 @@
     /** An answer and when its question was sent. */
     public record Heard(double askedS, PeerCodec.Answer answer) {}
 
+    /** Connects to the other controllers, given by label and address. */
     public Peers(
             XnioWorker worker,
             XnioIoThread io,
@@ -69,6 +70,7 @@
         return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    /** Begins to answer the questions of the other controllers. */
     public void listen(String address) throws IOException {
         server = worker.createStreamConnectionServer(
                 socket(address),
@@ -86,6 +88,7 @@
         server.resumeAccepts();
     }
 
+    /** Closes all connections and stops listening. */
     public void close() {
         closed = true;
         IoUtils.safeClose(server);
--- a/src/main/java/org/mountlug/settings/Operators.java
+++ b/src/main/java/org/mountlug/settings/Operators.java
@@ -18,14 +18,17 @@
 public record Operators(Map<String, Double> shares, boolean logTimes, double idleKeepS, double spotRisk) {
     private static final Set<String> KNOWN = Set.of("shares", "log", "machines");
 
+    /** The settings without a file. */
     public static Operators defaults() {
         return new Operators(Map.of(), false, org.mountlug.Constants.IDLE_KEEP_S, org.mountlug.Constants.SPOT_RISK);
     }
 
+    /** The weight of a team's queue. */
     public double share(String team) {
         return shares.getOrDefault(team, 1.0);
     }
 
+    /** Reads and checks the file. */
     public static Operators load(Path file) throws Settings.Invalid {
         Object o;
         try {
@@ -40,6 +43,7 @@
         return of(Fields.map(o));
     }
 
+    /** Checks settings that were read already. */
     public static Operators of(Map<String, Object> m) throws Settings.Invalid {
         for (Object k : m.keySet()) {
             if (!KNOWN.contains(k)) {
--- a/src/main/java/org/mountlug/settings/Settings.java
+++ b/src/main/java/org/mountlug/settings/Settings.java
@@ -43,6 +43,7 @@
         int fdLimit,
         double memMb) {
 
+    /** Another controller and the address at which it answers its peers. */
     public record Peer(String label, String endpoint) {}
 
     /** An aim as the platform restates it: {@code kind} wait, finished or deadline. */
@@ -50,11 +51,15 @@
 
     /** A setting that is missing or wrong, named by its path. */
     public static final class Invalid extends Exception {
+        private static final long serialVersionUID = 1;
+
+        /** Names the field and what is wrong with it. */
         public Invalid(String field, String problem) {
             super(field + ": " + problem);
         }
     }
 
+    /** Reads and checks the platform's file. */
     public static Settings load(Path file, Operators operators) throws Invalid {
         Map<String, Object> m;
         try (JsonParser p = new TomlFactory().createParser(Files.readString(file))) {
@@ -66,6 +71,7 @@
         return of(m, operators);
     }
 
+    /** Checks settings that were read already. */
     public static Settings of(Map<String, Object> m, Operators operators) throws Invalid {
         Reader root = new Reader("", m);
         List<Peer> others = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/org/mountlug/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's settings and the operators' own, checked. */
+package org.mountlug.settings;
--- a/src/main/java/org/mountlug/store/Budget.java
+++ b/src/main/java/org/mountlug/store/Budget.java
@@ -7,6 +7,7 @@
     private double level;
     private double atS = Double.NaN;
 
+    /** A full bucket that gains {@code perS} a second and holds {@code most}. */
     public Budget(double perS, double most) {
         this.perS = perS;
         this.most = Math.max(1, most);
@@ -22,6 +23,7 @@
         return level;
     }
 
+    /** Takes so much, or nothing and false if there is less. */
     public synchronized boolean take(double nowS, double n) {
         if (level(nowS) + 1e-9 < n) {
             return false;
--- a/src/main/java/org/mountlug/store/Change.java
+++ b/src/main/java/org/mountlug/store/Change.java
@@ -13,6 +13,7 @@
     private final Set<String> guarded = new HashSet<>();
     private final List<Object> writes = new ArrayList<>();
 
+    /** Makes the change depend on the revision of a key, 0 for one that does not exist. */
     public Change guard(String key, long stamp) {
         if (!guarded.add(key)) {
             return this;
@@ -24,6 +25,7 @@
         return this;
     }
 
+    /** Writes a key without a lease. */
     public Change put(String key, Map<String, Object> value) {
         Map<String, Object> w = new LinkedHashMap<>();
         w.put("put", key);
@@ -32,6 +34,7 @@
         return this;
     }
 
+    /** Writes a key that goes when the lease ends. */
     public Change put(String key, Map<String, Object> value, long hold) {
         Map<String, Object> w = new LinkedHashMap<>();
         w.put("put", key);
@@ -41,15 +44,18 @@
         return this;
     }
 
+    /** Removes a key. */
     public Change delete(String key) {
         writes.add(Map.of("delete", key));
         return this;
     }
 
+    /** The number of writes, as the budget counts them. */
     public int size() {
         return writes.size();
     }
 
+    /** The body of the request. */
     public Map<String, Object> body() {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("guards", guards);
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -60,6 +60,7 @@
 
     // ---- specification ----------------------------------------------------------------------------------------
 
+    /** The specification as it stands in a record. */
     public static Map<String, Object> spec(JobSpec s) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("l", s.lane());
@@ -193,6 +194,7 @@
         return m;
     }
 
+    /** The key of a further part of a job. */
     public static String partKey(String job, int part) {
         return PARTS + job + "/" + part;
     }
@@ -360,6 +362,7 @@
         return b.toString();
     }
 
+    /** Reads a live job from its record. */
     public static Job job(String id, Map<String, Object> m, long stamp, double nowS) {
         Job j = new Job(spec(id, Fields.map(m.get("s"))));
         j.stamp = stamp;
@@ -407,6 +410,7 @@
 
     // ---- final ------------------------------------------------------------------------------------------------
 
+    /** The record of a job that is over. */
     public static Map<String, Object> over(boolean done, int tasks) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("done", done);
@@ -442,6 +446,7 @@
 
     // ---- reservations -----------------------------------------------------------------------------------------
 
+    /** The record of a gang's reservations; what does not fit is left out. */
     public static Map<String, Object> reservations(List<Reservation> l, int mostChars) {
         List<Object> out = new ArrayList<>();
         int size = 10;
@@ -456,6 +461,7 @@
         return Map.of("t", out);
     }
 
+    /** Reads a gang's reservations. */
     public static List<Reservation> reservations(Map<String, Object> m) {
         List<Reservation> out = new ArrayList<>();
         for (Object o : Fields.list(m, "t")) {
--- a/src/main/java/org/mountlug/store/StateClient.java
+++ b/src/main/java/org/mountlug/store/StateClient.java
@@ -33,14 +33,17 @@
         this.submits = new Budget(submit, submit * Constants.NODE_BURST_S);
     }
 
+    /** Takes a read for a user from the budget, false if none is left. */
     public boolean mayRead() {
         return reads.take(clockS.getAsDouble(), 1);
     }
 
+    /** Takes a submission or cancellation from the budget, false if none is left. */
     public boolean maySubmit() {
         return submits.take(clockS.getAsDouble(), 1);
     }
 
+    /** Steady seconds at which the last request was sent that the state service served. */
     public double servedS() {
         return servedS;
     }
@@ -62,10 +65,12 @@
         };
     }
 
+    /** Reads a key. */
     public void get(String key, int timeoutMs, Consumer<Http.Answer> then) {
         calls.call(Methods.GET, "/kv/" + key, null, timeoutMs, noting(then));
     }
 
+    /** Reads a page of the keys with a prefix. */
     public void list(String prefix, String after, Consumer<Http.Answer> then) {
         calls.call(
                 Methods.GET,
@@ -75,18 +80,22 @@
                 noting(then));
     }
 
+    /** Sends a transaction. */
     public void commit(Change c, Consumer<Http.Answer> then) {
         calls.call(Methods.POST, "/multi", c.body(), Constants.STATE_TIMEOUT_MS, noting(then));
     }
 
+    /** Opens a lease. */
     public void hold(int lifeMs, Consumer<Http.Answer> then) {
         calls.call(Methods.POST, "/holds", Map.of("lifeMs", (long) lifeMs), Constants.STATE_TIMEOUT_MS, noting(then));
     }
 
+    /** Renews a lease. */
     public void renew(long hold, Consumer<Http.Answer> then) {
         calls.call(Methods.POST, "/holds/" + hold + "/touch", Map.of(), Constants.STATE_TIMEOUT_MS, noting(then));
     }
 
+    /** Ends a lease at once. */
     public void drop(long hold, Consumer<Http.Answer> then) {
         calls.call(Methods.DELETE, "/holds/" + hold, null, Constants.STATE_TIMEOUT_MS, noting(then));
     }
--- /dev/null
+++ b/src/main/java/org/mountlug/store/package-info.java
@@ -0,0 +1,2 @@
+/** Records, transactions and budgets of the state service. */
+package org.mountlug.store;
--- a/src/main/java/org/mountlug/wire/Cbor.java
+++ b/src/main/java/org/mountlug/wire/Cbor.java
@@ -36,6 +36,7 @@
         }
     }
 
+    /** Reads a message; throws if it is no map. */
     @SuppressWarnings("unchecked")
     public static Map<String, Object> readMap(byte[] body) throws IOException {
         Object v = read(body);
@@ -106,6 +107,7 @@
         }
     }
 
+    /** Writes a message. */
     public static byte[] write(Object v) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256);
         try (JsonGenerator g = FACTORY.createGenerator(out)) {
--- a/src/main/java/org/mountlug/wire/Fields.java
+++ b/src/main/java/org/mountlug/wire/Fields.java
@@ -7,36 +7,44 @@
 public final class Fields {
     private Fields() {}
 
+    /** A text, or null. */
     public static String str(Map<String, Object> m, String k) {
         return m.get(k) instanceof String s ? s : null;
     }
 
+    /** A text, or the default. */
     public static String str(Map<String, Object> m, String k, String def) {
         return m.get(k) instanceof String s ? s : def;
     }
 
+    /** An integer, or the default. */
     public static long num(Map<String, Object> m, String k, long def) {
         return m.get(k) instanceof Number n ? n.longValue() : def;
     }
 
+    /** A number, or the default. */
     public static double dec(Map<String, Object> m, String k, double def) {
         return m.get(k) instanceof Number n ? n.doubleValue() : def;
     }
 
+    /** A boolean; false if it is absent. */
     public static boolean bool(Map<String, Object> m, String k) {
         return Boolean.TRUE.equals(m.get(k));
     }
 
+    /** A map; empty if it is none. */
     @SuppressWarnings("unchecked")
     public static Map<String, Object> map(Object o) {
         return o instanceof Map ? (Map<String, Object>) o : Map.of();
     }
 
+    /** A list; empty if it is absent. */
     @SuppressWarnings("unchecked")
     public static List<Object> list(Map<String, Object> m, String k) {
         return m.get(k) instanceof List ? (List<Object>) m.get(k) : List.of();
     }
 
+    /** A list of texts, or null if it is absent. */
     @SuppressWarnings("unchecked")
     public static List<String> strings(Map<String, Object> m, String k) {
         return m.get(k) instanceof List ? (List<String>) m.get(k) : null;
--- a/src/main/java/org/mountlug/wire/Http.java
+++ b/src/main/java/org/mountlug/wire/Http.java
@@ -33,6 +33,7 @@
 public final class Http implements Calls {
     /** What came back; {@code status} 0 means no answer, so the request may have been carried out, now or later. */
     public record Answer(int status, Map<String, Object> body, boolean sent) {
+        /** Whether there was no answer at all. */
         public boolean none() {
             return status == 0;
         }
@@ -52,6 +53,7 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private int open;
 
+    /** A client of one address with at most so many connections, which are kept open between calls. */
     public Http(XnioIoThread thread, ByteBufferPool pool, String address, int most) {
         this(thread, pool, address, most, true);
     }
--- a/src/main/java/org/mountlug/wire/Json.java
+++ b/src/main/java/org/mountlug/wire/Json.java
@@ -7,6 +7,7 @@
 public final class Json {
     private Json() {}
 
+    /** The number of characters of a value as JSON. */
     public static int length(Object o) {
         if (o instanceof Map<?, ?> m) {
             int n = 2 + Math.max(0, m.size() - 1);
--- a/src/test/java/org/mountlug/Samples.java
+++ b/src/test/java/org/mountlug/Samples.java
@@ -27,6 +27,7 @@
 
     private Samples() {}
 
+    /** A cluster of a leader with token 7 that knows the sample machine types and these teams. */
     public static Cluster cluster(Team... teams) {
         Cluster c = new Cluster(
                 TOKEN, 10, teams.length == 0 ? List.of(new Team("t", 0, 0, 0, 0, 1)) : Arrays.asList(teams));
@@ -34,10 +35,12 @@
         return c;
     }
 
+    /** A job of tasks that all need the same, run as a gang or as an array. */
     public static JobSpec spec(String id, boolean gang, int tasks, Resources need, Urgency u) {
         return spec(id, gang ? Shape.GANG : Shape.ARRAY, tasks, need, u);
     }
 
+    /** A job of tasks that all need the same, in the given shape. */
     public static JobSpec spec(String id, Shape shape, int tasks, Resources need, Urgency u) {
         return new JobSpec(
                 id,
@@ -61,10 +64,12 @@
                 0);
     }
 
+    /** An array of small tasks. */
     public static JobSpec array(String id, int tasks) {
         return spec(id, false, tasks, new Resources(2, 0, 8), Urgency.STANDARD);
     }
 
+    /** The same job with other rules about the zones of its tasks. */
     public static JobSpec zones(JobSpec s, boolean oneZone, boolean apart) {
         return new JobSpec(
                 s.id(),
@@ -88,6 +93,7 @@
                 s.submittedMs());
     }
 
+    /** Takes the job in as one that the state service holds. */
     public static Job live(Cluster c, JobSpec s) {
         Job j = new Job(s);
         j.stamp = 1;
@@ -95,11 +101,13 @@
         return j;
     }
 
+    /** A report of a sample machine that shows these tasks. */
     public static Report report(
             String machine, String type, String zone, long session, long seq, long token, Report.Item... items) {
         return new Report(machine, "10.0.0.9:1", type, zone, false, session, seq, token, Double.NaN, List.of(items));
     }
 
+    /** One attempt as a report shows it. */
     public static Report.Item item(String job, int task, long attempt, TaskState s, Cause c) {
         return new Report.Item(job, task, attempt, s, c, false);
     }
@@ -119,6 +127,7 @@
         }
     }
 
+    /** The orders in a short form that tests can compare. */
     public static List<String> verbs(List<Order> orders) {
         List<String> l = new ArrayList<>();
         for (Order o : orders) {
--- /dev/null
+++ b/src/test/java/org/mountlug/api/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of submissions as users send them. */
+package org.mountlug.api;
--- /dev/null
+++ b/src/test/java/org/mountlug/core/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of decisions, without any input or output. */
+package org.mountlug.core;
--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/MeetingsTest.java
@@ -98,11 +98,10 @@
                     switch (by) {
                         case "poll", "third node" -> teller.poll(id(1));
                         case "submission" -> {
-                            Map<String, Object>[] got = new Map[1];
-                            teller.askLater(
-                                    "submission", id(1), r -> teller.users.submit(w.body(id(1)), r), m -> got[0] = m);
-                            w.until(5, () -> got[0] != null);
-                            yield got[0];
+                            List<Map<String, Object>> got = new ArrayList<>();
+                            teller.askLater("submission", id(1), r -> teller.users.submit(w.body(id(1)), r), got::add);
+                            w.until(5, () -> !got.isEmpty());
+                            yield got.get(0);
                         }
                         default -> teller.abort(id(1));
                     };
--- /dev/null
+++ b/src/test/java/org/mountlug/package-info.java
@@ -0,0 +1,2 @@
+/** Samples shared by the tests. */
+package org.mountlug;
--- /dev/null
+++ b/src/test/java/org/mountlug/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the protocol between controllers. */
+package org.mountlug.peer;
--- /dev/null
+++ b/src/test/java/org/mountlug/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings and their errors. */
+package org.mountlug.settings;
--- a/src/test/java/org/mountlug/store/ProductionTest.java
+++ b/src/test/java/org/mountlug/store/ProductionTest.java
@@ -177,7 +177,7 @@
         assertEquals(j.done, k.done);
         assertEquals(j.placed.keySet(), k.placed.keySet());
         j.placed.forEach((t, p) -> {
-            var q = k.placed.get((int) t);
+            var q = k.placed.get(t);
             assertEquals(
                     List.of(p.machine, p.zone, p.session, p.attempt), List.of(q.machine, q.zone, q.session, q.attempt));
         });
--- a/src/test/java/org/mountlug/store/RecordCodecTest.java
+++ b/src/test/java/org/mountlug/store/RecordCodecTest.java
@@ -93,7 +93,7 @@
             assertEquals(j.done, k.done);
             assertEquals(j.placed.keySet(), k.placed.keySet());
             j.placed.forEach((t, p) -> {
-                Placement q = k.placed.get((int) t);
+                Placement q = k.placed.get(t);
                 assertEquals(
                         List.of(p.machine, p.zone, p.session, p.attempt),
                         List.of(q.machine, q.zone, q.session, q.attempt));
--- /dev/null
+++ b/src/test/java/org/mountlug/store/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of records, and of records written by the version in production. */
+package org.mountlug.store;
