Failing jobs condemn no machine: blame goes to who fails everywhere, and suspects are tried one at a time

Cause: two or three jobs with a mistake at once looked, on each machine, like different jobs that fail in a row. Ruled out: faulty machines (no job that works elsewhere failed on them).

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -183,6 +183,12 @@
     public static final double SLOW_SHARE = 0.06;
     /** Failures in a row on one machine, of at least two different jobs, before it is quarantined. */
     public static final int SICK_FAILURES = 2;
+    /** Machines on which a job that never completed a task must have failed to be suspected of a mistake itself. */
+    public static final int SUSPECT_MACHINES = 3;
+
+    /** Seconds of a later start for which a job's task is not tried again where the job has failed. */
+    public static final double FAILED_HERE_S = 20;
+
     /** Characters of a record beside its tasks and names: numbers of the specification, failures, zones, keys. */
     public static final int RECORD_FIXED_CHARS = 1300;
     /** Characters of a machine in a record beside its name: zone and session with their signs. */
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -118,7 +118,10 @@
      */
     private void hold(List<Job> pending) {
         for (Job j : pending) {
-            if (!j.spec.gang() || !j.placed.isEmpty() || cluster.reservations.containsKey(j.spec.id())) {
+            if (!j.spec.gang()
+                    || !j.placed.isEmpty()
+                    || j.failureHistory.suspected()
+                    || cluster.reservations.containsKey(j.spec.id())) {
                 continue;
             }
             int missing = j.spec.tasks();
@@ -185,7 +188,10 @@
     private void spill(List<Job> pending) {
         double waiting = 0;
         for (Job j : pending) {
-            if (j.spec.need().gpus() == 0 || j.open() <= 0 || cluster.reservations.containsKey(j.spec.id())) {
+            if (j.spec.need().gpus() == 0
+                    || j.open() <= 0
+                    || j.failureHistory.suspected()
+                    || cluster.reservations.containsKey(j.spec.id())) {
                 continue;
             }
             double share = 1;
@@ -237,7 +243,11 @@
     private void standby(List<Job> pending) {
         List<Job> jobs = new ArrayList<>();
         for (Job j : pending) {
-            if (!j.spec.gang() && !j.spec.service() && !j.spec.apart() && j.open() > 0) {
+            if (!j.spec.gang()
+                    && !j.spec.service()
+                    && !j.spec.apart()
+                    && !j.failureHistory.suspected()
+                    && j.open() > 0) {
                 jobs.add(j);
             }
         }
@@ -416,7 +426,7 @@
                 }
             }
             boolean ready = s.ready(j.spec.tasks());
-            if (ready || best == null && s.pipelined(j.spec.tasks())) {
+            if (ready || best == null && !j.failureHistory.suspected() && s.pipelined(j.spec.tasks())) {
                 if (best != null) {
                     best.discard();
                 }
@@ -514,7 +524,10 @@
         if (j.spec.need().gpus() == 0 && m.type.size().gpus() > 0) {
             c += 30;
         }
-        c += 4 * (1 - n.busyShare()) + 5 * m.failures;
+        if (j.failureHistory.machines().contains(m.name)) {
+            c += Constants.FAILED_HERE_S;
+        }
+        c += 4 * (1 - n.busyShare()) + 5 * m.failures();
         return c;
     }
 
@@ -523,6 +536,10 @@
         Team team = cluster.team(j.spec.team());
         Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
         int budget = cluster.recordRoom(j);
+        if (j.failureHistory.suspected()) {
+            // One task at a time tells whether it still fails; more would only take room from others.
+            budget = Math.min(budget, j.placed.isEmpty() ? 1 : 0);
+        }
         if (budget <= 0) {
             return;
         }
@@ -727,7 +744,7 @@
         if (m.name.equals(j.avoid.get(task))) {
             c += Constants.ENDED_HERE_S;
         }
-        return c + 2 * (1 - n.busyShare()) + 5 * m.failures;
+        return c + 2 * (1 - n.busyShare()) + 5 * m.failures();
     }
 
     private void commit(Statement s) {
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -54,6 +54,7 @@
     };
 
     private final Outcomes outcomes = new Outcomes();
+    private final FailureBlame blame = new FailureBlame(name -> machines.get(name), this::note);
     /** Machines that were condemned and are still there, as of the last round. */
     private int condemned;
     /** By class: the neediest accelerator job seen in this term. */
@@ -300,6 +301,7 @@
             return;
         }
         jobs.put(j.spec.id(), j);
+        blame.loaded(j);
         if (j.spec.need().gpus() > 0) {
             acceleratorNeeds.merge(
                     j.spec.lane(), j.spec, (a, b) -> a.need().cpus() >= b.need().cpus() ? a : b);
@@ -368,6 +370,7 @@
     public void finished(Job j, long epoch) {
         finished.put(j.spec.id(), epoch);
         outcomes.forget(j.spec.id());
+        blame.over(j);
         jobs.remove(j.spec.id());
         reservations.remove(j.spec.id());
     }
@@ -766,15 +769,16 @@
                 j.done.set(p.task);
             }
             j.failures.remove(p.task);
+            blame.succeeded(m, j);
             j.touch(p.task, nowS, j.complete());
         } else {
             double retry = 0;
             if (i.cause() == Cause.ERROR) {
                 int n = j.failures.addTo(p.task, 1) + 1;
                 retry = Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 1));
-                String why = outcomes.failed(m, j);
-                if (why != null) {
-                    note(why);
+                blame.failed(m, j, p.attempt);
+                if (j.failureHistory.suspected()) {
+                    j.pausedUntilS = Math.max(j.pausedUntilS, nowS + j.failureHistory.retryS());
                 }
             } else if (i.cause() == Cause.FULL || i.cause() == Cause.BUSY || i.cause() == Cause.UNKNOWN) {
                 retry = Constants.REFUSED_RETRY_S;
@@ -800,13 +804,11 @@
         }
         if (!Double.isNaN(p.runningS) && nowS - p.runningS > Constants.SETTLED_S) {
             j.failures.remove(p.task);
+            blame.succeeded(m, j);
         }
         int n = j.failures.addTo(p.task, 1) + 1;
         if (cause == Cause.ERROR) {
-            String why = outcomes.failed(m, j);
-            if (why != null) {
-                note(why);
-            }
+            blame.failed(m, j, p.attempt);
         }
         return n < 2 ? 0 : Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 2));
     }
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -77,10 +77,10 @@
     public final Set<String> atLarge = new HashSet<>();
 
     public final Set<String> images = new LinkedHashSet<>();
-    /** Jobs whose tasks failed here since the last success. */
-    public final Set<String> failedJobs = new HashSet<>();
-
-    public int failures;
+    /** Jobs whose tasks failed here since the last success, with how many did; those suspected themselves left out. */
+    final Map<Job, Integer> failedJobs = new HashMap<>();
+    /** Whether it was condemned for tasks that failed, which may turn out to have been the jobs' fault. */
+    boolean condemnedForFailures;
     /** How much slower than others it ran its last tasks, and when that was last judged, see {@link Outcomes}. */
     double lag;
 
@@ -101,6 +101,15 @@
         return job + "/" + task + "#" + attempt;
     }
 
+    /** How many tasks have failed here since the last success, as far as that may be the machine's fault. */
+    public int failures() {
+        int failures = 0;
+        for (int count : failedJobs.values()) {
+            failures += count;
+        }
+        return failures;
+    }
+
     /** Whether it has come up, by its own word or the cloud's. */
     public boolean cameUp() {
         return up || running;
--- a/src/main/java/org/mountlug/core/cluster/Outcomes.java
+++ b/src/main/java/org/mountlug/core/cluster/Outcomes.java
@@ -28,8 +28,6 @@
      */
     String done(Machine m, Placement p, int up, int condemned, double nowS) {
         Job j = p.job;
-        m.failedJobs.clear();
-        m.failures = 0;
         // What began in an earlier term began at a time that we do not know: counted from our first look, all of it
         // would seem short, and what runs in full after it slow.
         if (Double.isNaN(p.runningS) || p.version == 0) {
@@ -68,24 +66,6 @@
         return "quarantined " + m.name + ": it runs tasks slowly";
     }
 
-    /**
-     * A task has failed. A machine is condemned when different jobs fail on it in a row, or one job that works
-     * elsewhere; a job that was submitted with a mistake fails everywhere and must not cost us the fleet.
-     */
-    String failed(Machine m, Job j) {
-        m.failures++;
-        m.failedJobs.add(j.spec.id());
-        boolean worksElsewhere = !j.done.isEmpty()
-                || j.spec.service()
-                        && j.placed.values().stream()
-                                .anyMatch(p -> !p.machine.equals(m.name) && !Double.isNaN(p.runningS));
-        if (m.failures < Constants.SICK_FAILURES || m.failedJobs.size() < 2 && !worksElsewhere || m.sick) {
-            return null;
-        }
-        m.sick = true;
-        return "quarantined " + m.name + " after " + m.failures + " failures";
-    }
-
     /** The job is over, and what was learnt of its tasks with it. */
     void forget(String job) {
         runs.remove(job);
--- a/src/main/java/org/mountlug/core/model/Job.java
+++ b/src/main/java/org/mountlug/core/model/Job.java
@@ -26,6 +26,8 @@
     public final BitSet done = new BitSet();
     public final Int2ObjectAVLTreeMap<Placement> placed = new Int2ObjectAVLTreeMap<>();
     public final Int2IntOpenHashMap failures = new Int2IntOpenHashMap();
+    /** Where its tasks failed since one last completed. */
+    public final FailureHistory failureHistory = new FailureHistory();
     /** By task of a service: the machine on which it last ended by itself. */
     public final Int2ObjectOpenHashMap<String> avoid = new Int2ObjectOpenHashMap<>();
     /** Steady seconds before which a task is not tried again. */
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -49,6 +49,7 @@
             // Work without accelerators is queued, not forced in, as it has plenty of cheap machines to wait for; but
             // not services, which are missed from the first second on.
             if (j.cancelled
+                    || j.failureHistory.suspected()
                     || j.spec.need().gpus() == 0 && !j.spec.service()
                     || cluster.reservations.containsKey(j.spec.id())) {
                 continue;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -179,6 +179,12 @@
                 spared = true;
             }
             int n = wanting(j);
+            if (j.failureHistory.suspected()) {
+                n = wantedForRetry(j, nowS);
+                if (n == 0) {
+                    continue;
+                }
+            }
             Team team = cluster.team(s.team());
             if (team != null) {
                 Resources used = usage.getOrDefault(s.team(), Resources.ZERO);
@@ -226,6 +232,24 @@
         return n;
     }
 
+    /**
+     * Tasks of a job suspected of failing everywhere that need a machine: none while it waits for its next try, or while
+     * machines are there that could hold that try, busy or not, as nothing is worth renting for it.
+     */
+    private int wantedForRetry(Job j, double nowS) {
+        int needed = j.spec.gang() || j.spec.service() ? wanting(j) : 1;
+        if (nowS < j.pausedUntilS || !j.spec.service() && !j.placed.isEmpty()) {
+            return 0;
+        }
+        int slots = 0;
+        for (Machine m : cluster.machines.values()) {
+            if (m.type != null && !m.releasing && !m.sick && j.spec.allows(m.type.name(), m.zone, m.spot)) {
+                slots += j.spec.need().countIn(m.type.size());
+            }
+        }
+        return slots >= needed ? 0 : needed;
+    }
+
     private static int moving(Job j) {
         int n = 0;
         for (Placement p : j.placed.values()) {
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -85,6 +85,8 @@
     final Map<String, Integer> zoneCapacity = new HashMap<>();
     /** Jobs that were submitted with a mistake: their tasks fail everywhere. */
     final java.util.Set<String> faulty = new java.util.HashSet<>();
+    /** How many tasks of each job were started, on any machine. */
+    final Map<String, Integer> startsOf = new HashMap<>();
     /** Services, whose replicas run until they are stopped. */
     final java.util.Set<String> services = new java.util.HashSet<>();
     /** How the next so many seconds-old replicas of a service end by themselves, if they do. */
@@ -1234,6 +1236,7 @@
                         latestStartS = Math.max(latestStartS, now - c);
                     }
                     starts++;
+                    startsOf.merge(job, 1, Integer::sum);
                     t = new Task(job, index, o.attempt());
                     if (gangs.getOrDefault(job, false)) {
                         t.state = TaskState.WAITING;
