A leader that reaches only the state service learns through it that others hear its workers, and gives way

Followers that hear workers and not the leader now write how many reports come to them, guarded by the leader key; a leader that hears next to none, and not all peers, reads it.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -86,6 +86,12 @@
     public static final int MISSED_LEAST = 3;
     /** Share of the others' reports up to which a leader counts as hearing none. */
     public static final double MISSED_HEARS = 0.05;
+    /** Seconds between two writings of how many reports come to a follower, where the leader cannot be told itself. */
+    public static final double STORED_COUNTS_S = 2;
+
+    /** Seconds more between two readings, so that each number that is still written was written in between. */
+    public static final double STORED_COUNTS_MARGIN_S = 0.5;
+
     /** Seconds a term lasts at the least before that is judged: workers find a new leader in two tries of 5 s. */
     public static final double MISSED_AFTER_S = 12;
     /** Seconds for which a leader that gave up leaves the campaign to the others. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -69,6 +69,7 @@
     private boolean announcing;
     private double nextAnnounceS;
     private final ReportCount reports;
+    private final StoredReportCounts storedCounts;
     /** Steady seconds of the last turn, by which a standstill of the whole process shows. */
     private double lastTurnS;
     /** Steady seconds of the last waking from a standstill. */
@@ -101,6 +102,7 @@
         this.boot = random.nextLong();
         this.startedS = clockS.getAsDouble();
         this.lastTurnS = startedS;
+        this.storedCounts = new StoredReportCounts(state, settings.label());
         this.reports = new ReportCount(Constants.REPORTS_INTERVALS * settings.reportS());
         this.election = new Election(settings.label(), Long.toHexString(boot));
         this.peerView = new PeerView(
@@ -130,6 +132,7 @@
             LOG.info("{} has ended, by its refusals and the others' answers", l);
             election.leaderEnded(l);
         }
+        shareReportCounts();
         if (missed()) {
             LOG.info("gives up leading: workers report to the other nodes and not to us");
             election.resign(clockS.getAsDouble());
@@ -177,16 +180,40 @@
      */
     private boolean missed() {
         double now = clockS.getAsDouble();
-        if (leader == null || !leader.loaded() || !election.proven(now) || leader.termS() < Constants.MISSED_AFTER_S) {
+        if (!mayBeMissed(now)) {
             return false;
         }
-        int elsewhere = peerView.reportsElsewhere(now);
+        int elsewhere = Math.max(peerView.reportsElsewhere(now), storedCounts.elsewhere(now));
         if (elsewhere < Constants.MISSED_LEAST || reports.lately(now) > elsewhere * Constants.MISSED_HEARS) {
             return false;
         }
         return elsewhere >= leader.machinesUp() * Constants.MISSED_SHARE;
     }
 
+    private boolean mayBeMissed(double now) {
+        return leader != null && leader.loaded() && election.proven(now) && leader.termS() >= Constants.MISSED_AFTER_S;
+    }
+
+    /**
+     * Where connections between controllers are refused or lost, what tells a leader that it is missed goes through the
+     * state service: from a follower that hears workers and not the leader, to a leader that hears hardly any worker.
+     */
+    private void shareReportCounts() {
+        double now = clockS.getAsDouble();
+        int heard = reports.lately(now);
+        String label = election.leader();
+        if (leader == null && label != null && !election.leading()) {
+            if (heard >= Constants.MISSED_LEAST && !peerView.heardLately(label, now)) {
+                storedCounts.write(heard, election.seenStamp(), now);
+            }
+        } else if (mayBeMissed(now)
+                && heard <= leader.machinesUp() * Constants.MISSED_HEARS
+                && leader.machinesUp() >= Constants.MISSED_LEAST
+                && !peerView.allHeardLately(now)) {
+            storedCounts.read(election.token(), now);
+        }
+    }
+
     // ---- leadership -------------------------------------------------------------------------------------------
 
     /** When to campaign, as a part of the spread. */
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -128,6 +128,22 @@
         return answered > 0 && answered * 2 > peers.size() - 1;
     }
 
+    /** Whether this peer has answered lately. */
+    public synchronized boolean heardLately(String peer, double nowS) {
+        Known k = known.get(peer);
+        return k != null && nowS - k.heardS() < Constants.PEER_FRESH_S;
+    }
+
+    /** Whether every peer has answered lately. */
+    public synchronized boolean allHeardLately(double nowS) {
+        for (String p : peers) {
+            if (!heardLately(p, nowS)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Whether some peer said lately that the state service serves it. */
     public synchronized boolean anyServed(double nowS) {
         for (Known k : known.values()) {
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -39,6 +39,8 @@
     public static final String PARTS = "p/";
     /** What each controller can read, by its label. */
     public static final String VERSIONS = "v/";
+    /** How many workers' reports come to a follower that cannot tell the leader itself. */
+    public static final String REPORT_COUNTS = "h/";
     /** The layout of records that this version reads: 2 has parts. */
     public static final int LAYOUT = 2;
     /** Characters of a record beside its description and tasks: keys, write, zones, counts, failures. */
