--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -288,6 +288,12 @@
     public static final int BESIDE_HEAP_MB = 80;
 
     // ---- users ------------------------------------------------------------------------------------------------
+    /** Seconds that a user waits for an answer at the most; the protocol's figure for submissions. */
+    public static final double USER_PATIENCE_S = 5;
+
+    /** Seconds after a standstill in which requests are taken for ones that waited in their sockets meanwhile. */
+    public static final double SHED_AFTER_WAKING_S = 0.5;
+
     /** Seconds told to users when something cannot be served. */
     public static final int RETRY_AFTER_S = 1;
     /** Final states kept in memory by a node; each takes some 100 bytes. */
--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -111,8 +111,20 @@
         x.send(200, status(id, "withdrawn", 0, 0));
     }
 
+    /** Refuses at once what may have waited in its socket until nobody waits for the answer. */
+    private boolean shed(Reply x) {
+        boolean shed = node.shedsRequests();
+        if (shed) {
+            x.send(503, null);
+        }
+        return shed;
+    }
+
     /** Answers a question about the state of a job. */
     public void poll(String id, Reply x) {
+        if (shed(x)) {
+            return;
+        }
         if (!JobParser.validId(id)) {
             x.send(404, null);
             return;
@@ -145,6 +157,9 @@
     /** Takes a job in, or says why not. */
     public void submit(byte[] bytes, Reply x) {
         node.metrics().submitted();
+        if (shed(x)) {
+            return;
+        }
         if (bytes.length > Constants.BODY_MAX) {
             x.send(400, Map.of("error", "body over 64 KiB"));
             return;
@@ -214,6 +229,9 @@
 
     /** Cancels a job, or answers that it is done already. */
     public void abort(String id, Reply x) {
+        if (shed(x)) {
+            return;
+        }
         abort(x, id, Constants.ABORT_TRIES);
     }
 
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -74,6 +74,8 @@
     private double lastTurnS;
     /** Steady seconds of the last waking from a standstill. */
     private double wokeS = Double.NEGATIVE_INFINITY;
+    /** Seconds for which it had stood still then. */
+    private double stoodStillS;
     /** Whether nothing since the last waking has shown that we still lead. */
     private boolean doubtful;
 
@@ -160,12 +162,22 @@
         LOG.info("stood still for {} s", Math.round(gap * 10) / 10.0);
         lastTurnS = now; // noticed once, by whichever looks first
         wokeS = now;
+        stoodStillS = gap;
         doubtful = true;
         if (leader != null) {
             leader.cluster().woke(now);
         }
     }
 
+    /**
+     * Whether users' requests are refused for now: this process stood still for longer than any user waits, and what it
+     * reads just after waking is mostly from users that have long given up and asked elsewhere.
+     */
+    public boolean shedsRequests() {
+        noticeStandstill();
+        return stoodStillS > Constants.USER_PATIENCE_S && clockS.getAsDouble() - wokeS < Constants.SHED_AFTER_WAKING_S;
+    }
+
     /** Whether we may answer workers: after waking only once a renewal, or every peer, shows that nobody else leads. */
     private boolean trusted(double now) {
         if (doubtful && (election.proven(now) || peerView.allAnsweredSince(wokeS))) {
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -271,6 +271,11 @@
         return bodies.get(id);
     }
 
+    /** A new submission, to be sent by the test itself. */
+    byte[] submission(String id, int tasks) {
+        return nodes.get(0).body(id, tasks, false, Map.of());
+    }
+
     /** Jobs that were accepted. */
     List<String> accepted() {
         return asked.entrySet().stream()
@@ -691,6 +696,15 @@
             });
         }
 
+        /** The same, read from its socket as soon as it goes on if it stands still now. */
+        void askThroughSocket(
+                String question,
+                String id,
+                java.util.function.Consumer<Users.Reply> request,
+                java.util.function.Consumer<Map<String, Object>> then) {
+            awake(() -> askLater(question, id, request, then));
+        }
+
         Map<String, Object> poll(String id) {
             return ask("poll", id, r -> users.poll(id, r));
         }
