Log: one line a change of state, however many tasks fall; meters for failing jobs, silence, refusals

Events of a kind are merged a round, details go to debug; a kind of machine that is exhausted, the cloud's interface and an overload of users' requests are noted when they begin and end.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -238,6 +238,7 @@
     public static final double CLOUD_TROUBLE_S = 2;
     /** Seconds for which an exhausted kind of machine (type, zone, spot) is not asked for again. */
     public static final double NO_CAPACITY_S = 15.0;
+
     /** Multiple of the nominal boot time after which a machine counts as never coming up; usual is up to 1.5. */
     public static final double BOOT_GIVE_UP = 2.2;
     /** Seconds added to that, so that quick types are not judged by a hair. */
@@ -294,6 +295,9 @@
     /** Seconds after a standstill in which requests are taken for ones that waited in their sockets meanwhile. */
     public static final double SHED_AFTER_WAKING_S = 0.5;
 
+    /** Seconds without a refusal after which users count as asking no more than the budget allows. */
+    public static final double OVERLOAD_OVER_S = 10;
+
     /** Seconds told to users when something cannot be served. */
     public static final int RETRY_AFTER_S = 1;
     /** Final states kept in memory by a node; each takes some 100 bytes. */
--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -102,8 +102,13 @@
         empty(x, 404);
     }
 
-    private static Users.Reply reply(HttpServerExchange x) {
+    private Users.Reply reply(HttpServerExchange x) {
         return (status, body) -> {
+            if (status == 429) {
+                node.metrics().overBudget();
+            } else if (status == 503) {
+                node.metrics().unserved();
+            }
             if (body == null) {
                 empty(x, status);
             } else {
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -756,8 +756,7 @@
             placedCount++;
         }
         if (j.spec.gang()) {
-            cluster.note("placed gang " + j.spec.id() + " on " + s.ops().get(0).node().machine.name + " after "
-                    + Math.round(nowS - j.seenS) + " s");
+            cluster.event("placed gangs", j.spec.id() + " after " + Math.round(nowS - j.seenS) + " s");
         }
     }
 }
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -54,7 +54,7 @@
     };
 
     private final Outcomes outcomes = new Outcomes();
-    private final FailureBlame blame = new FailureBlame(name -> machines.get(name), this::note);
+    private final FailureBlame blame = new FailureBlame(name -> machines.get(name), this::event);
     /** Machines that were condemned and are still there, as of the last round. */
     private int condemned;
     /** By class: the neediest accelerator job seen in this term. */
@@ -63,7 +63,9 @@
     private boolean parts;
     private double recordChars = 8 * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
     private final Map<String, List<String>> expected = new HashMap<>();
-    private final List<String> notes = new ArrayList<>();
+    private EventSummary events = new EventSummary();
+    private long lostTasks;
+    private long failedTasks;
     /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole dear ones. */
     public final Set<String> spilling = new HashSet<>();
 
@@ -194,16 +196,34 @@
         return types.values();
     }
 
-    /** Decisions worth a line in the log since the last call. */
-    public List<String> takeNotes() {
-        List<String> l = new ArrayList<>(notes);
-        notes.clear();
-        return l;
+    /** What is worth a line in the log since the last call. */
+    public EventSummary takeEvents() {
+        EventSummary taken = events;
+        events = new EventSummary();
+        return taken;
+    }
+
+    /** Leaves an event for the log, with its subject: a task, a machine or a job. */
+    public void event(String kind, String subject) {
+        events.add(kind, subject);
     }
 
-    /** Leaves a line for the log. */
-    public void note(String s) {
-        notes.add(s);
+    /** How jobs and machines stand. */
+    public FleetStatus status(double nowS) {
+        int suspected = 0;
+        for (Job j : jobs.values()) {
+            suspected += j.failureHistory.suspected() ? 1 : 0;
+        }
+        int booting = 0;
+        int silent = 0;
+        int quarantined = 0;
+        for (Machine m : machines.values()) {
+            booting += m.cameUp() || !m.placed.isEmpty() ? 0 : 1;
+            silent += m.up && silentS(m, nowS) > leaseS ? 1 : 0;
+            quarantined += m.sick ? 1 : 0;
+        }
+        return new FleetStatus(
+                jobs.size(), suspected, machines.size(), booting, silent, quarantined, lostTasks, failedTasks);
     }
 
     /** Takes in the machine types with their current prices. */
@@ -320,7 +340,7 @@
     /** A user's abort became durable: nothing that has not been sent may start, the rest must stop. */
     public void cancelled(Job j, double nowS) {
         if (!j.cancelled) {
-            note("cancelled " + j.spec.id());
+            event("cancelled", j.spec.id());
         }
         j.cancelled = true;
         reservations.remove(j.spec.id());
@@ -403,7 +423,8 @@
             j.notBefore.put(p.task, nowS + retryS);
         }
         j.touch(p.task, nowS, j.cancelled);
-        note("lost " + p.name() + " try " + p.attempt + " on " + p.machine + ": " + why);
+        lostTasks++;
+        event("lost of " + j.spec.id() + ", " + why, p.name() + " try " + p.attempt + " on " + p.machine);
         // What remains of a gang can neither go on nor be completed: a new attempt needs it out of the way.
         if (j.spec.gang()) {
             for (Placement q : j.placed.values()) {
@@ -426,7 +447,7 @@
         if (m == null) {
             m = new Machine(r.machine(), nowS);
             added(m);
-            note("found " + m.name + " " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""));
+            event("found " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""), m.name);
         }
         if (!r.newerThan(m.session, m.sequence)) {
             // Overtaken by the answer to orders sent straight to the worker, it may still be the one report that it
@@ -467,7 +488,7 @@
         m.reportSequence = r.sequence();
         if (!Double.isNaN(r.recallS())) {
             if (Double.isNaN(m.takenS)) {
-                note("notice for " + m.name + ": taken in " + r.recallS() + " s");
+                event("notice, taken in " + Math.round(r.recallS()) + " s", m.name);
             }
             m.takenS = nowS + r.recallS();
         }
@@ -756,9 +777,8 @@
         } else if (i.cause() == Cause.DONE) {
             drop(p);
             roomCameFree |= !reservations.isEmpty() || serviceWaits;
-            String why = outcomes.done(m, p, machines.size(), condemned, nowS);
-            if (why != null) {
-                note(why);
+            if (outcomes.done(m, p, machines.size(), condemned, nowS)) {
+                event("quarantined, runs tasks slowly", m.name);
             }
             if (j.spec.gang()) { // a gang completes together
                 j.done.set(0, j.spec.tasks());
@@ -776,6 +796,7 @@
             if (i.cause() == Cause.ERROR) {
                 int n = j.failures.addTo(p.task, 1) + 1;
                 retry = Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 1));
+                failedTasks++;
                 blame.failed(m, j, p.attempt);
                 if (j.failureHistory.suspected()) {
                     j.pausedUntilS = Math.max(j.pausedUntilS, nowS + j.failureHistory.retryS());
@@ -808,6 +829,7 @@
         }
         int n = j.failures.addTo(p.task, 1) + 1;
         if (cause == Cause.ERROR) {
+            failedTasks++;
             blame.failed(m, j, p.attempt);
         }
         return n < 2 ? 0 : Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 2));
@@ -825,7 +847,7 @@
         for (Placement p : new ArrayList<>(m.placed.values())) {
             gone(p, nowS, 0, why);
         }
-        note("gone " + name + ": " + why);
+        event("gone, " + why, name);
     }
 
     /**
--- a/src/main/java/org/mountlug/core/cluster/FailureBlame.java
+++ b/src/main/java/org/mountlug/core/cluster/FailureBlame.java
@@ -1,6 +1,6 @@
 package org.mountlug.core.cluster;
 
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.mountlug.Constants;
 import org.mountlug.core.model.FailureHistory;
@@ -14,12 +14,12 @@
  */
 final class FailureBlame {
     private final Function<String, Machine> machines;
-    private final Consumer<String> log;
+    private final BiConsumer<String, String> events;
 
     /** @param machines finds a machine by name, or null */
-    FailureBlame(Function<String, Machine> machines, Consumer<String> log) {
+    FailureBlame(Function<String, Machine> machines, BiConsumer<String, String> events) {
         this.machines = machines;
-        this.log = log;
+        this.events = events;
     }
 
     /** A task of the job has failed on the machine. */
@@ -44,7 +44,7 @@
             return;
         }
         if (history.suspected()) {
-            log.accept(job.spec.id() + " works after all, on " + machine.name);
+            events.accept("no longer suspected, as a task has completed", job.spec.id());
         }
         // The blame for its failures is settled: they were the machines'.
         String[] failedOn = history.machines().toArray(new String[0]);
@@ -91,8 +91,7 @@
     }
 
     private void suspect(Job job) {
-        log.accept(job.spec.id()
-                + " is suspected of a mistake: it fails on every machine and is tried one attempt at a time");
+        events.accept("suspected, as it fails on every machine; tried one attempt at a time", job.spec.id());
         takeBack(job);
         job.failureHistory.suspect();
     }
@@ -106,8 +105,7 @@
             if (machine.condemnedForFailures && !machine.releasing && !guilty(machine)) {
                 machine.condemnedForFailures = false;
                 machine.sick = false;
-                log.accept("quarantine of " + machine.name + " is lifted: its failures were the fault of "
-                        + job.spec.id());
+                events.accept("quarantine lifted, failures were the fault of " + job.spec.id(), machine.name);
             }
         }
     }
@@ -118,7 +116,7 @@
         }
         machine.sick = true;
         machine.condemnedForFailures = true;
-        log.accept("quarantined " + machine.name + " after " + machine.failures() + " failures");
+        events.accept("quarantined after failures", machine.name);
     }
 
     private static boolean guilty(Machine machine) {
--- a/src/main/java/org/mountlug/core/cluster/Outcomes.java
+++ b/src/main/java/org/mountlug/core/cluster/Outcomes.java
@@ -26,12 +26,12 @@
      * A task has completed, while so many machines are up and so many of them are condemned; returns what there is to
      * say if this one is condemned by it, else null.
      */
-    String done(Machine m, Placement p, int up, int condemned, double nowS) {
+    boolean done(Machine m, Placement p, int up, int condemned, double nowS) {
         Job j = p.job;
         // What began in an earlier term began at a time that we do not know: counted from our first look, all of it
         // would seem short, and what runs in full after it slow.
         if (Double.isNaN(p.runningS) || p.version == 0) {
-            return null;
+            return false;
         }
         double ran = Math.max(0.5, nowS - p.runningS);
         if (j.spec.expectedS() > 0 && j.spec.checkpointS() == 0) {
@@ -39,7 +39,7 @@
             x[0] = x[0] * 0.99 + ran / j.spec.expectedS();
             x[1] = x[1] * 0.99 + 1;
         }
-        return j.spec.gang() ? null : slow(m, p, ran, condemned < Math.max(1, up * Constants.SLOW_SHARE), nowS);
+        return j.spec.gang() ? false : slow(m, p, ran, condemned < Math.max(1, up * Constants.SLOW_SHARE), nowS);
     }
 
     /**
@@ -47,7 +47,7 @@
      * slower, less what is within the ordinary, that starts anew whenever it falls below nothing. A gang runs at the
      * speed of its slowest machine, so its tasks tell nothing of any one; nor do those that ended unseen.
      */
-    private String slow(Machine m, Placement p, double ran, boolean may, double nowS) {
+    private boolean slow(Machine m, Placement p, double ran, boolean may, double nowS) {
         double[] r = runs.computeIfAbsent(p.job.spec.id(), k -> new double[2]);
         double log = Math.log(ran);
         double mean = r[1] > 0 ? r[0] / r[1] : log;
@@ -55,15 +55,15 @@
         r[0] += Math.min(log, mean + Constants.SLOW_MOST);
         r[1]++;
         if (!judged) {
-            return null;
+            return false;
         }
         m.lagJudgedS = nowS; // what ended together, ended late together
         m.lag = Math.max(0, m.lag + Math.min(Constants.SLOW_MOST, log - mean) - Constants.SLOW_ORDINARY);
         if (m.lag < Constants.SLOW_CONDEMNED || m.sick || !may) {
-            return null;
+            return false;
         }
         m.sick = true;
-        return "quarantined " + m.name + ": it runs tasks slowly";
+        return true;
     }
 
     /** The job is over, and what was learnt of its tasks with it. */
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -96,7 +96,7 @@
                             q.stop(v.leewayS);
                         }
                     }
-                    cluster.note("preempted " + v.name() + " on " + v.machine + " for " + s.id());
+                    cluster.event("preempted for " + s.id(), v.name() + " on " + v.machine);
                 }
                 lastFor.put(s.id(), nowS);
                 left = p.left;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -32,7 +32,10 @@
     private final double idleKeepS;
     private final double spotRisk;
     /** Kinds of machine that were refused, with the steady seconds until which they are not asked for. */
-    private final Map<String, Double> exhausted = new HashMap<>();
+    private final Map<MachineKind, Double> exhausted = new HashMap<>();
+
+    /** Kinds that were refused and of which nothing was asked in vain since. */
+    private final Set<MachineKind> knownExhausted = new HashSet<>();
 
     private long counter;
 
@@ -46,13 +49,15 @@
         this.spotRisk = spotRisk;
     }
 
-    private static String kind(String type, String zone, boolean spot) {
-        return type + "|" + zone + "|" + spot;
+    /** The cloud has no more machines of this kind for now; tells whether that is news. */
+    public boolean refused(Rental r, double nowS) {
+        exhausted.put(r.kind(), nowS + Constants.NO_CAPACITY_S);
+        return knownExhausted.add(r.kind());
     }
 
-    /** The cloud has no more machines of this kind for now. */
-    public void refused(Rental r, double nowS) {
-        exhausted.put(kind(r.type(), r.zone(), r.spot()), nowS + Constants.NO_CAPACITY_S);
+    /** The cloud has rented all that was asked of this kind; tells whether that is news. */
+    public boolean served(Rental r) {
+        return knownExhausted.remove(r.kind());
     }
 
     /** Room of a machine, in parts of the machine times seconds. */
@@ -119,7 +124,7 @@
         return Math.min(Constants.HORIZON_MAX_S, Math.max(Constants.HORIZON_MIN_S, slack * Constants.HORIZON_SHARE));
     }
 
-    private record Wish(String type, String zone, boolean spot, int count) {}
+    private record Wish(MachineKind kind, int count) {}
 
     /** What to rent now. */
     public List<Rental> rentals(double nowS, double nowEpochS) {
@@ -168,8 +173,8 @@
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, cluster.expectedS(j))));
         Map<String, Resources> usage = cluster.usage();
         cluster.spilling.clear();
-        Map<String, Integer> wanted = new HashMap<>();
-        Map<String, Wish> out = new LinkedHashMap<>();
+        Map<MachineKind, Integer> wanted = new HashMap<>();
+        Map<MachineKind, Wish> out = new LinkedHashMap<>();
         boolean spared = false;
         for (Job j : jobs) {
             JobSpec s = j.spec;
@@ -266,8 +271,8 @@
             int n,
             Job j,
             List<Vessel> vessels,
-            Map<String, Integer> wanted,
-            Map<String, Wish> out,
+            Map<MachineKind, Integer> wanted,
+            Map<MachineKind, Wish> out,
             Set<String> silentZones,
             double nowS) {
         boolean plain = s.need().gpus() == 0;
@@ -360,8 +365,8 @@
      */
     private void spare(
             List<Vessel> vessels,
-            Map<String, Integer> wanted,
-            Map<String, Wish> out,
+            Map<MachineKind, Integer> wanted,
+            Map<MachineKind, Wish> out,
             Set<String> silentZones,
             double nowS,
             double nowEpochS) {
@@ -392,8 +397,8 @@
             int n,
             boolean cheapOnly,
             List<Vessel> vessels,
-            Map<String, Integer> wanted,
-            Map<String, Wish> out,
+            Map<MachineKind, Integer> wanted,
+            Map<MachineKind, Wish> out,
             Set<String> silentZones,
             double nowS) {
         int left = n;
@@ -414,7 +419,7 @@
                         if (!s.allows(t.name(), zone, spot)) {
                             continue;
                         }
-                        if (exhausted.getOrDefault(kind(t.name(), zone, spot), 0.0) > nowS) {
+                        if (exhausted.getOrDefault(new MachineKind(t.name(), zone, spot), 0.0) > nowS) {
                             continue;
                         }
                         int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, left);
@@ -442,7 +447,7 @@
             if (best == null) {
                 break;
             }
-            String kind = kind(best.type.name(), best.zone, best.spot);
+            MachineKind kind = new MachineKind(best.type.name(), best.zone, best.spot);
             int have = wanted.getOrDefault(kind, 0);
             int take = Math.min(machines, Constants.RENT_MAX * Constants.RENT_CALLS_A_KIND - have);
             if (take <= 0) {
@@ -454,7 +459,7 @@
                 left -= Math.max(1, v.takes(s, est, horizon, left));
                 vessels.add(v);
             }
-            out.put(kind, new Wish(best.type.name(), best.zone, best.spot, have + take));
+            out.put(kind, new Wish(kind, have + take));
         }
         return n - Math.max(0, left);
     }
@@ -466,7 +471,9 @@
             for (Wish w : wishes) {
                 int count = Math.min(Constants.RENT_MAX, w.count - k * Constants.RENT_MAX);
                 if (count > 0) {
-                    l.add(new Rental("h-" + cluster.token() + "-" + ++counter, w.type, w.zone, w.spot, count));
+                    MachineKind kind = w.kind;
+                    l.add(new Rental(
+                            "h-" + cluster.token() + "-" + ++counter, kind.type(), kind.zone(), kind.spot(), count));
                 }
             }
         }
@@ -582,7 +589,7 @@
                 continue;
             }
             m.releasing = true;
-            cluster.note("returning " + m.name + ": " + why);
+            cluster.event("returning, " + why, m.name);
             out.add(m.name);
         }
         return out.size() > Constants.RELEASE_MAX ? out.subList(0, Constants.RELEASE_MAX) : out;
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -70,6 +70,7 @@
     private double nextAnnounceS;
     private final ReportCount reports;
     private final StoredReportCounts storedCounts;
+    private final OverloadLog overload = new OverloadLog();
     /** Steady seconds of the last turn, by which a standstill of the whole process shows. */
     private double lastTurnS;
     /** Steady seconds of the last waking from a standstill. */
@@ -134,6 +135,7 @@
             LOG.info("{} has ended, by its refusals and the others' answers", l);
             election.leaderEnded(l);
         }
+        overload.look(metrics.overBudgetSoFar(), clockS.getAsDouble());
         shareReportCounts();
         if (missed()) {
             LOG.info("gives up leading: workers report to the other nodes and not to us");
@@ -159,6 +161,7 @@
         if (gap <= Constants.STANDSTILL_S) {
             return;
         }
+        metrics.standstill();
         LOG.info("stood still for {} s", Math.round(gap * 10) / 10.0);
         lastTurnS = now; // noticed once, by whichever looks first
         wokeS = now;
@@ -583,6 +586,7 @@
         noticeStandstill();
         double now = clockS.getAsDouble();
         if (!trusted(now) || !leader.mayRenew(now) || leader.unanswerable(r.machine())) {
+            metrics.unanswered();
             return new Beat.Blind();
         }
         List<Order> orders = leader.report(r);
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -21,6 +21,7 @@
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.EventSummary;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.lead.Election;
 import org.mountlug.core.model.Aims;
@@ -105,6 +106,9 @@
 
     private final ArrayDeque<Rental> rentals = new ArrayDeque<>();
     private int renting;
+    /** Whether the cloud's interface refused the last request, whatever it was for. */
+    private boolean cloudTrouble;
+
     private boolean rentLater;
     private double rentAgainS;
     private final Budget cloudCalls;
@@ -557,11 +561,20 @@
         if (!returning) {
             release(scaler.returns(now, epochS));
         }
-        for (String s : cluster.takeNotes()) {
-            LOG.info("{}", s);
-        }
+        log(cluster.takeEvents());
         metrics.reserved(cluster.reservations.size());
-        metrics.fleet(cluster.jobs.size(), cluster.machines.size());
+        metrics.fleet(cluster.status(now));
+    }
+
+    private static void log(EventSummary events) {
+        for (String line : events.lines()) {
+            LOG.info("{}", line);
+        }
+        if (LOG.isDebugEnabled()) {
+            for (String line : events.details()) {
+                LOG.debug("{}", line);
+            }
+        }
     }
 
     // ---- flush ------------------------------------------------------------------------------------------------
@@ -1009,27 +1022,20 @@
                 for (String n : names) {
                     cluster.rented(n, r.type(), r.zone(), r.spot(), now);
                 }
-                LOG.info(
-                        "rented {} of {} {} in {}{}: {}",
-                        names.size(),
-                        r.count(),
-                        r.type(),
-                        r.zone(),
-                        r.spot() ? " spot" : "",
-                        names);
+                LOG.info("rented {} of {} {}", names.size(), r.count(), r.kind());
+                LOG.debug("rented {}", names);
+                noteTrouble(false);
                 if (names.size() < r.count()) {
                     exhausted(r, now);
+                } else if (scaler.served(r)) {
+                    LOG.info("{} to be had again", r.kind());
                 }
             } else if (a.none() && tries < 3) {
                 later(() -> rent(r, tries + 1), 500); // the same name gives the same machines
                 return;
             } else if (a.status() == 503 || a.status() == 429) {
-                LOG.info(
-                        "no {} in {}{}: {}",
-                        r.type(),
-                        r.zone(),
-                        r.spot() ? " spot" : "",
-                        a.body().get("error"));
+                metrics.rentalRefused();
+                noteTrouble(!"no capacity".equals(a.body().get("error")));
                 if (!"trouble".equals(a.body().get("error")) && a.status() == 503) {
                     exhausted(r, now);
                 } else {
@@ -1041,9 +1047,19 @@
         });
     }
 
+    /** Notes in the log when the cloud's interface begins to refuse everything, and when that is over. */
+    private void noteTrouble(boolean trouble) {
+        if (trouble != cloudTrouble) {
+            LOG.info(trouble ? "the cloud's interface refuses requests" : "the cloud's interface serves again");
+        }
+        cloudTrouble = trouble;
+    }
+
     /** There are no more of this kind now, so what else was to be asked of it is not. */
     private void exhausted(Rental r, double now) {
-        scaler.refused(r, now);
+        if (scaler.refused(r, now)) {
+            LOG.info("no more {} for now", r.kind());
+        }
         rentals.removeIf(x -> x.type().equals(r.type()) && x.zone().equals(r.zone()) && x.spot() == r.spot());
     }
 
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -5,6 +5,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToDoubleFunction;
+import org.mountlug.core.cluster.FleetStatus;
 
 /**
  * The service's meters. The registry is built when first asked for: its start-up costs more of a quarter of a core than
@@ -16,8 +18,12 @@
     private final AtomicLong cancelled = new AtomicLong();
     private final AtomicLong beats = new AtomicLong();
     private final AtomicLong submissions = new AtomicLong();
-    private final AtomicInteger jobs = new AtomicInteger();
-    private final AtomicInteger machines = new AtomicInteger();
+    private final AtomicLong overBudget = new AtomicLong();
+    private final AtomicLong unserved = new AtomicLong();
+    private final AtomicLong unanswered = new AtomicLong();
+    private final AtomicLong standstills = new AtomicLong();
+    private final AtomicLong rentalsRefused = new AtomicLong();
+    private volatile FleetStatus fleet = new FleetStatus(0, 0, 0, 0, 0, 0, 0, 0);
     private final AtomicInteger reservations = new AtomicInteger();
     private final AtomicInteger leading = new AtomicInteger();
     private PrometheusMeterRegistry registry;
@@ -42,10 +48,39 @@
         submissions.incrementAndGet();
     }
 
-    /** Shows how many live jobs and machines the leader knows. */
-    public void fleet(int liveJobs, int knownMachines) {
-        jobs.set(liveJobs);
-        machines.set(knownMachines);
+    /** Counts a request of a user that was refused for the budget's sake. */
+    public void overBudget() {
+        overBudget.incrementAndGet();
+    }
+
+    /** How many requests have been refused for the budget's sake. */
+    public long overBudgetSoFar() {
+        return overBudget.get();
+    }
+
+    /** Counts a request of a user that could not be served. */
+    public void unserved() {
+        unserved.incrementAndGet();
+    }
+
+    /** Counts a worker's report that a leader left without an answer. */
+    public void unanswered() {
+        unanswered.incrementAndGet();
+    }
+
+    /** Counts a standstill of the process. */
+    public void standstill() {
+        standstills.incrementAndGet();
+    }
+
+    /** Counts a request for machines that the cloud had none for. */
+    public void rentalRefused() {
+        rentalsRefused.incrementAndGet();
+    }
+
+    /** Shows how jobs and machines stand, as the leader knows them. */
+    public void fleet(FleetStatus status) {
+        fleet = status;
     }
 
     /** Shows how many gangs hold reservations. */
@@ -67,8 +102,19 @@
             counter("mountlug.jobs.cancelled", cancelled);
             counter("mountlug.reports", beats);
             counter("mountlug.submissions", submissions);
-            Gauge.builder("mountlug.jobs.live", jobs, AtomicInteger::get).register(registry);
-            Gauge.builder("mountlug.machines", machines, AtomicInteger::get).register(registry);
+            counter("mountlug.requests.over.budget", overBudget);
+            counter("mountlug.requests.unserved", unserved);
+            counter("mountlug.reports.unanswered", unanswered);
+            counter("mountlug.standstills", standstills);
+            counter("mountlug.rentals.refused", rentalsRefused);
+            gauge("mountlug.jobs.live", FleetStatus::liveJobs);
+            gauge("mountlug.jobs.suspected", FleetStatus::suspectedJobs);
+            gauge("mountlug.machines", FleetStatus::machines);
+            gauge("mountlug.machines.booting", FleetStatus::booting);
+            gauge("mountlug.machines.silent", FleetStatus::silent);
+            gauge("mountlug.machines.quarantined", FleetStatus::quarantined);
+            gauge("mountlug.term.tasks.lost", FleetStatus::lost);
+            gauge("mountlug.term.tasks.failed", FleetStatus::failed);
             Gauge.builder("mountlug.reservations", reservations, AtomicInteger::get)
                     .register(registry);
             Gauge.builder("mountlug.leading", leading, AtomicInteger::get).register(registry);
@@ -76,6 +122,10 @@
         return registry.scrape();
     }
 
+    private void gauge(String name, ToDoubleFunction<FleetStatus> value) {
+        Gauge.builder(name, this, metrics -> value.applyAsDouble(metrics.fleet)).register(registry);
+    }
+
     private void counter(String name, AtomicLong from) {
         io.micrometer.core.instrument.FunctionCounter.builder(name, from, AtomicLong::get)
                 .register(registry);
