Orders that are overdue are not counted on; observed boots decide when to replace, wait, avoid and give up

Cause: a machine past its boot time counted as up in a second until it was given up at 2.2 times that and 15 s, so what waited for it waited, and a kind that came up late or never was ordered again and again. BootHistory keeps boot times and losses by type, zone and market, fading with 120 s. Tests: ScalerTest, seen to fail with each of three guards out.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -243,6 +243,27 @@
     public static final double BOOT_GIVE_UP = 2.2;
     /** Seconds added to that, so that quick types are not judged by a hair. */
     public static final double BOOT_GIVE_UP_S = 15.0;
+    /** Times its usual boot time after which an ordered machine is not counted on any more, though it may still come. */
+    public static final double BOOT_OVERDUE = 1.6;
+
+    /** Seconds in which an observed boot comes to count half as much: a kind in trouble is tried again after a time. */
+    public static final double BOOT_HALF_LIFE_S = 120;
+
+    /** Times the nominal boot time that one late machine counts at the most. */
+    public static final double BOOT_RATIO_MOST = 4;
+
+    /** Orders that came up in the nominal time which each kind is credited with before any was seen. */
+    public static final double BOOT_PRIOR = 4;
+
+    /** Share of orders that never come up, before any was seen. */
+    public static final double BOOT_LOSS_PRIOR = 0.02;
+
+    /** Overdue machines of a kind from which on it may be avoided. */
+    public static final int OVERDUE_LEAST = 3;
+
+    /** Seconds for which nothing more is ordered of a kind of which most orders are overdue. */
+    public static final double OVERDUE_AVOIDED_S = 20;
+
     /** Seconds beyond the lease after which a silent machine is returned. */
     public static final double SILENT_RELEASE_S = 6.0;
     /** More seconds for which machines of a zone that is silent as a whole are kept: a cut ends, a boot is paid for. */
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -462,8 +462,7 @@
             return List.of(); // held back on its way: as old as its sequence
         }
         if (!m.up) {
-            m.up = true;
-            m.idleSinceS = nowS;
+            m.firstHeard(nowS);
         }
         boolean served = m.synced && !m.deaf;
         if (r.session() > m.session && m.sequence >= 0) {
@@ -953,6 +952,7 @@
         m.type = types.get(type);
         m.zone = zone;
         m.spot = spot;
+        m.ordered();
         added(m);
     }
 }
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -49,6 +49,10 @@
 
     public double rentedS;
     public boolean up;
+    /** Whether this leader ordered it and has not looked at how long it took to boot. */
+    private boolean bootWatched;
+
+    private double firstHeardS = Double.NaN;
     /** Whether the cloud's list shows it running: then it has come up, whether we have heard of it or not. */
     public boolean running;
     /** Steady seconds when the cloud's list first showed it, NaN if it has not. */
@@ -110,6 +114,32 @@
         return failures;
     }
 
+    /** Notes its order by this leader, who so knows when it was sent. */
+    void ordered() {
+        bootWatched = true;
+    }
+
+    /** Notes its first report. */
+    void firstHeard(double nowS) {
+        up = true;
+        idleSinceS = nowS;
+        firstHeardS = nowS;
+    }
+
+    /** Whether its boot has been watched to its end; true once. */
+    public boolean takeBoot() {
+        boolean watched = bootWatched && up;
+        if (watched) {
+            bootWatched = false;
+        }
+        return watched;
+    }
+
+    /** Seconds from its order to its first report. */
+    public double bootedInS() {
+        return firstHeardS - rentedS;
+    }
+
     /** Whether it has come up, by its own word or the cloud's. */
     public boolean cameUp() {
         return up || running;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -37,11 +37,14 @@
     /** Kinds that were refused and of which nothing was asked in vain since. */
     private final Set<MachineKind> knownExhausted = new HashSet<>();
 
+    private final BootHistory boots;
+
     private long counter;
 
     /** Decides for the machines of this cluster; {@code spotRisk} is a factor on spot prices. */
     public Scaler(Cluster cluster, Aims aims, double leaseS, double reportS, double idleKeepS, double spotRisk) {
         this.cluster = cluster;
+        this.boots = new BootHistory(cluster);
         this.aims = aims;
         this.leaseS = leaseS;
         this.reportS = reportS;
@@ -128,6 +131,7 @@
 
     /** What to rent now. */
     public List<Rental> rentals(double nowS, double nowEpochS) {
+        boots.observe(nowS);
         Set<String> silentZones = silentZones(nowS);
         List<Vessel> vessels = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
@@ -139,6 +143,10 @@
             if (silent && (m.unlisted || Double.isNaN(m.listedS) || silentZones.contains(m.zone))) {
                 continue;
             }
+            // What is overdue may come yet, and is used or returned then; the work that waits for it is not left to it.
+            if (!m.cameUp() && m.placed.isEmpty() && boots.overdue(m, nowS)) {
+                continue;
+            }
             // After an outage or a cut a whole room has lost its leases and is deaf until its next two reports: rented
             // for at once, it would be there twice.
             boolean back = m.up && !silent && m.deaf;
@@ -149,7 +157,11 @@
                     m.type,
                     m.zone,
                     m.spot,
-                    silent ? m.type.bootS() : back ? Constants.HEARS_AGAIN_S : m.up ? 0 : m.expectedUpS(nowS) - nowS,
+                    silent
+                            ? m.type.bootS()
+                            : back
+                                    ? Constants.HEARS_AGAIN_S
+                                    : m.up ? 0 : Math.max(1, m.rentedS + boots.bootS(m, nowS) - nowS),
                     m.type.size().minus(m.services()));
             for (Placement p : m.placed.values()) {
                 if (p.job.spec.service()) {
@@ -422,7 +434,12 @@
                         if (exhausted.getOrDefault(new MachineKind(t.name(), zone, spot), 0.0) > nowS) {
                             continue;
                         }
-                        int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, left);
+                        MachineKind candidate = new MachineKind(t.name(), zone, spot);
+                        if (boots.avoided(candidate, nowS)) {
+                            continue;
+                        }
+                        double bootS = t.bootS() * boots.slowness(candidate, nowS);
+                        int per = new Vessel(t, zone, spot, bootS).takes(s, est, horizon, left);
                         if (per == 0) {
                             continue;
                         }
@@ -435,10 +452,14 @@
                                                 * Math.ceil((double) left
                                                         / count
                                                         / Math.max(1, s.need().countIn(t.size()))));
-                        double c = count * t.price(spot) * (spot ? spotRisk : 1) * (t.bootS() + busy);
+                        double c = count
+                                * t.price(spot)
+                                * (spot ? spotRisk : 1)
+                                * (bootS + busy)
+                                / (1 - boots.lossRate(candidate, nowS));
                         if (c < least) {
                             least = c;
-                            best = new Vessel(t, zone, spot, t.bootS());
+                            best = new Vessel(t, zone, spot, bootS);
                             machines = count;
                         }
                     }
@@ -555,9 +576,13 @@
             double boot = known ? m.type.bootS() : 60;
             if (!m.cameUp() && m.placed.isEmpty()) {
                 double since = Math.max(nowS - m.rentedS, 0);
-                if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S
-                        && cluster.hearingFor(nowS) > leaseS) {
+                double giveUpS =
+                        known ? boots.giveUpS(m, nowS) : boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S;
+                if (since > giveUpS && cluster.hearingFor(nowS) > leaseS) {
                     why = "never came up";
+                    if (known && m.zone != null) {
+                        boots.lost(m, nowS);
+                    }
                 }
             } else if (m.unlisted && cluster.silentS(m, nowS) > leaseS / 2) {
                 why = "taken";
--- a/src/test/java/org/mountlug/core/ScalerTest.java
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -54,6 +54,76 @@
         assertEquals(List.of(), s.rentals(1, 1));
     }
 
+    private int order(double nowS) {
+        int ordered = 0;
+        for (Rental r : s.rentals(nowS, nowS)) {
+            for (int i = 0; i < r.count(); i++) {
+                c.rented("n-" + r.name() + "-" + i, r.type(), r.zone(), r.spot(), nowS);
+                ordered++;
+            }
+        }
+        return ordered;
+    }
+
+    private List<Machine> machines() {
+        return List.copyOf(c.machines.values());
+    }
+
+    private void comesUp(Machine m, double nowS) {
+        c.report(Samples.report(m.name, m.type.name(), m.zone, 1, 1, Samples.TOKEN), true, nowS);
+    }
+
+    /** An order that is overdue was taken for one that is up in a second, and what waited for it waited for minutes. */
+    @ParameterizedTest(name = "after {0} s of a boot of 30: ordered again {1}")
+    @CsvSource({"20, false", "40, false", "47, false", "50, true", "70, true"})
+    void anOverdueOrderIsReplacedOnce(double afterS, boolean again) {
+        Samples.live(c, Samples.array("wk-000001", 1));
+        assertEquals(1, order(0));
+        assertEquals(again ? 1 : 0, order(afterS));
+        assertEquals(0, order(afterS + 1), "no order is paid for twice");
+        machines().forEach(m -> comesUp(m, afterS + 2));
+        assertEquals(0, order(afterS + 3));
+        assertEquals(List.of(), s.returns(afterS + 3, 0), "what comes late is used, or returned once it is idle");
+    }
+
+    /** Where most orders of a kind are overdue, others are ordered instead, and the kind is tried again later. */
+    @Test
+    void aKindWhoseOrdersAreOverdueIsAvoidedForATime() {
+        Samples.live(c, Samples.array("wk-000001", 24));
+        assertTrue(order(0) >= 3);
+        Set<String> late = new HashSet<>();
+        machines().forEach(m -> late.add(m.type.name() + m.zone + m.spot));
+        assertEquals(1, late.size());
+        assertTrue(order(50) > 0);
+        for (Machine m : machines()) {
+            assertEquals(m.rentedS == 0, late.contains(m.type.name() + m.zone + m.spot), "another kind in its place");
+        }
+        double giveUpS = 30 * 2.2 + 16;
+        s.returns(giveUpS, 0).forEach(name -> c.machineGone(name, giveUpS, "returned"));
+        List<Machine> kept = machines();
+        assertTrue(kept.stream().noneMatch(m -> m.rentedS == 0), "what never came up is returned");
+        Samples.live(c, Samples.array("wk-000002", 40));
+        order(giveUpS + 400);
+        assertTrue(
+                machines().stream().anyMatch(m -> late.contains(m.type.name() + m.zone + m.spot)),
+                "the kind is tried again");
+    }
+
+    /** A kind that was seen to boot slowly is waited for longer, one that was not is given up in its time. */
+    @ParameterizedTest(name = "others took {0} s: given up {1}")
+    @CsvSource({"30, true", "90, false"})
+    void observedBootTimesDecideWhenAnOrderIsGivenUp(double tookS, boolean givenUp) {
+        for (int i = 0; i < 5; i++) {
+            c.rented("n-" + i, "small", "a", true, 0);
+        }
+        machines().forEach(m -> comesUp(m, tookS));
+        s.rentals(tookS, tookS);
+        c.rented("n-late", "small", "a", true, 100);
+        double at = 100 + 30 * 2.2 + 16;
+        s.rentals(at, at);
+        assertEquals(givenUp, s.returns(at, 0).contains("n-late"));
+    }
+
     @Test
     void nothingIsRentedBeyondATeamsLimit() {
         Samples.live(c, Samples.spec("wk-000001", false, 1, new Resources(50, 0, 1), Urgency.HIGH));
