--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -119,6 +119,11 @@
         bootWatched = true;
     }
 
+    /** Whether this leader ordered it and has not seen it come up. */
+    public boolean bootWatched() {
+        return bootWatched;
+    }
+
     /** Notes its first report. */
     void firstHeard(double nowS) {
         up = true;
--- a/src/main/java/org/mountlug/core/scale/BootHistory.java
+++ b/src/main/java/org/mountlug/core/scale/BootHistory.java
@@ -29,7 +29,10 @@
 
     private final Cluster cluster;
     private final Map<MachineKind, Past> past = new HashMap<>();
-    /** By kind, how many machines have been ordered that are not up, and how many of them are overdue. */
+    /**
+     * By kind, how many machines this leader has ordered that are not up, and how many of them are overdue. An earlier
+     * leader's orders are left out, as of those only the late ones are still to be seen.
+     */
     private final Map<MachineKind, int[]> waiting = new HashMap<>();
     /** By kind, steady seconds until which nothing more of it is ordered. */
     private final Map<MachineKind, Double> avoidedUntilS = new HashMap<>();
@@ -48,7 +51,7 @@
             MachineKind kind = MachineKind.of(machine);
             if (machine.takeBoot()) {
                 record(kind, machine, nowS);
-            } else if (!machine.cameUp() && machine.placed.isEmpty() && !machine.releasing) {
+            } else if (machine.bootWatched() && !machine.cameUp() && !machine.releasing) {
                 int[] counts = waiting.computeIfAbsent(kind, k -> new int[2]);
                 counts[0]++;
                 counts[1] += overdue(machine, nowS) ? 1 : 0;
--- a/src/test/java/org/mountlug/core/ScalerTest.java
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -18,6 +18,7 @@
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
+import org.mountlug.core.scale.Listed;
 import org.mountlug.core.scale.Rental;
 import org.mountlug.core.scale.Scaler;
 
@@ -109,16 +110,30 @@
                 "the kind is tried again");
     }
 
+    /** Of an earlier leader's orders only the late ones are to be seen, which says nothing of their kind. */
+    @Test
+    void ordersOfAnEarlierLeaderMakeNoKindSuspect() {
+        c.listed(
+                java.util.stream.IntStream.range(0, 5)
+                        .mapToObj(i -> new Listed("n-" + i, "x:1", "small", "a", true, Listed.Status.BOOTING, 60))
+                        .toList(),
+                10,
+                0);
+        Samples.live(c, Samples.array("wk-000001", 1));
+        Rental first = s.rentals(1, 1).get(0);
+        assertEquals("small in a spot", first.kind().toString());
+    }
+
     /** A kind that was seen to boot slowly is waited for longer, one that was not is given up in its time. */
     @ParameterizedTest(name = "others took {0} s: given up {1}")
     @CsvSource({"30, true", "90, false"})
     void observedBootTimesDecideWhenAnOrderIsGivenUp(double tookS, boolean givenUp) {
         for (int i = 0; i < 5; i++) {
-            c.rented("n-" + i, "small", "a", true, 0);
+            c.rented("n-" + i, "small", "a", false, 0);
         }
         machines().forEach(m -> comesUp(m, tookS));
         s.rentals(tookS, tookS);
-        c.rented("n-late", "small", "a", true, 100);
+        c.rented("n-late", "small", "a", false, 100);
         double at = 100 + 30 * 2.2 + 16;
         s.rentals(at, at);
         assertEquals(givenUp, s.returns(at, 0).contains("n-late"));
