Arrays inside a guarantee take room back from idle work of teams that have none

Cause: work without accelerators was never pre-empted for, so a guest's tasks of some minutes held up guaranteed work for as long as they ran: in the test none of it started within a minute. Guests keep a tenth of the CPUs.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -211,6 +211,12 @@
     /** Seconds after a stop order in which nothing else is stopped for the same job. */
     public static final double PREEMPT_PAUSE_S = 3.0;
 
+    /** Seconds that work inside a guarantee waits for room to come free by itself before guests' tasks are stopped. */
+    public static final double GUEST_PATIENCE_S = 3;
+
+    /** Share of the CPUs that teams without a guarantee keep between them, or none of their tasks would ever end. */
+    public static final double GUEST_FLOOR = 0.1;
+
     /** Seconds before a task's expected end from which its room may be given away: a round, a write and a report. */
     public static final double STANDBY_AHEAD_S = 4;
     /** Seconds after which a task that waits for such room goes back to its queue. */
--- /dev/null
+++ b/src/main/java/org/mountlug/core/preempt/GuestPreemption.java
@@ -0,0 +1,158 @@
+package org.mountlug.core.preempt;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mountlug.Constants;
+import org.mountlug.core.allocate.Node;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+import org.mountlug.core.model.Urgency;
+
+/**
+ * Room for arrays without accelerators that are inside their team's guarantee, at the cost of idle work of teams that have
+ * none. Such arrays are otherwise queued and wait for tasks to end, which is no promise where a guest's tasks run for
+ * minutes. Guests together keep a part of the room, so that they are served all the same.
+ */
+final class GuestPreemption {
+    private final Cluster cluster;
+
+    GuestPreemption(Cluster cluster) {
+        this.cluster = cluster;
+    }
+
+    /** What guests run that may be stopped, the cheapest first, by machine; empty where there is nothing to take. */
+    private Map<String, List<Placement>> guestTasks(double nowS) {
+        Map<String, List<Placement>> byMachine = new LinkedHashMap<>();
+        for (Job job : cluster.jobs.values()) {
+            if (job.spec.urgency() != Urgency.IDLE || job.spec.gang() || job.spec.service() || hasGuarantee(job)) {
+                continue;
+            }
+            for (Placement placement : job.placed.values()) {
+                if (!placement.stopping && !placement.standby) {
+                    byMachine
+                            .computeIfAbsent(placement.machine, m -> new ArrayList<>())
+                            .add(placement);
+                }
+            }
+        }
+        byMachine.values().forEach(tasks -> tasks.sort(Comparator.comparingDouble(p -> lossS(p, nowS))));
+        return byMachine;
+    }
+
+    private boolean hasGuarantee(Job job) {
+        Team team = cluster.team(job.spec.team());
+        return team != null && (team.cpus() > 0 || team.gpus() > 0);
+    }
+
+    private static double lossS(Placement placement, double nowS) {
+        double ranS = Double.isNaN(placement.runningS) ? 0 : nowS - placement.runningS;
+        double checkpointS = placement.job.spec.checkpointS();
+        return checkpointS > 0 ? Math.min(ranS, placement.job.spec.saveS()) : ranS;
+    }
+
+    /** Stops guests' tasks for these jobs, the most urgent first, each within its team's guarantee. */
+    void round(Iterable<Job> unplaced, Map<String, Node> nodes, Map<String, Resources> usage, double nowS) {
+        Map<String, List<Placement>> tasks = guestTasks(nowS);
+        if (tasks.isEmpty()) {
+            return;
+        }
+        Resources whole = Resources.ZERO;
+        for (Node node : nodes.values()) {
+            whole = whole.plus(node.machine.type.size());
+        }
+        double cpusToTake = guestCpus(tasks) - Constants.GUEST_FLOOR * whole.cpus();
+        Map<String, Resources> claimed = new LinkedHashMap<>(usage);
+        for (Job job : unplaced) {
+            if (cpusToTake <= 0) {
+                return;
+            }
+            if (mayClaim(job, nowS)) {
+                cpusToTake -= claim(job, tasks, nodes, claimed, cpusToTake);
+            }
+        }
+    }
+
+    private static double guestCpus(Map<String, List<Placement>> tasks) {
+        double cpus = 0;
+        for (List<Placement> l : tasks.values()) {
+            for (Placement placement : l) {
+                cpus += placement.job.spec.need().cpus();
+            }
+        }
+        return cpus;
+    }
+
+    private boolean mayClaim(Job job, double nowS) {
+        return !job.cancelled
+                && !job.failureHistory.suspected()
+                && !job.spec.gang()
+                && !job.spec.service()
+                && job.spec.need().gpus() == 0
+                && nowS - job.seenS >= Constants.GUEST_PATIENCE_S
+                && nowS >= job.pausedUntilS
+                && hasGuarantee(job);
+    }
+
+    /** Makes room for tasks of the job; returns the CPUs that were taken from guests. */
+    private double claim(
+            Job job,
+            Map<String, List<Placement>> tasks,
+            Map<String, Node> nodes,
+            Map<String, Resources> claimed,
+            double cpusToTake) {
+        Team team = cluster.team(job.spec.team());
+        Resources need = job.spec.need();
+        int wanted = job.open();
+        double taken = 0;
+        for (Map.Entry<String, List<Placement>> entry : tasks.entrySet()) {
+            Node node = nodes.get(entry.getKey());
+            if (node == null || !job.spec.allows(node.machine.type.name(), node.machine.zone, node.machine.spot)) {
+                continue;
+            }
+            if (node.machine.heldFor != null || !job.zoneAllows(node.machine.zone, 1)) {
+                continue;
+            }
+            // What was told to stop before and is not gone yet serves first.
+            int before = need.countIn(node.future());
+            int served = Math.min(before, wanted);
+            for (int i = 0; i < served; i++) {
+                node.pipelined = node.pipelined.plus(need);
+                claimed.merge(job.spec.team(), need, Resources::plus);
+            }
+            wanted -= served;
+            Resources room = node.future();
+            for (Placement guest : entry.getValue()) {
+                Resources then =
+                        claimed.getOrDefault(job.spec.team(), Resources.ZERO).plus(need);
+                if (wanted <= 0 || taken >= cpusToTake || !team.guarantees(then)) {
+                    return taken;
+                }
+                if (guest.stopping) {
+                    continue;
+                }
+                stop(guest, job);
+                taken += guest.job.spec.need().cpus();
+                node.releasing = node.releasing.plus(guest.job.spec.need());
+                room = room.plus(guest.job.spec.need());
+                while (wanted > 0 && need.fitsIn(room)) {
+                    room = room.minus(need);
+                    node.pipelined = node.pipelined.plus(need);
+                    claimed.merge(job.spec.team(), need, Resources::plus);
+                    wanted--;
+                }
+            }
+        }
+        return taken;
+    }
+
+    private void stop(Placement guest, Job job) {
+        guest.stop(guest.job.spec.checkpointS() > 0 ? guest.job.spec.saveS() + Constants.SAVE_GRACE_S : 0);
+        cluster.event("preempted for the guarantee of " + job.spec.id(), guest.name() + " on " + guest.machine);
+    }
+}
--- a/src/main/java/org/mountlug/core/preempt/Preemptor.java
+++ b/src/main/java/org/mountlug/core/preempt/Preemptor.java
@@ -28,11 +28,13 @@
 
     private final Cluster cluster;
     private final Map<String, Double> lastFor = new HashMap<>();
+    private final GuestPreemption guests;
     private ReplicaTimes times;
 
     /** Decides for the jobs and machines of this cluster. */
     public Preemptor(Cluster cluster) {
         this.cluster = cluster;
+        this.guests = new GuestPreemption(cluster);
     }
 
     /** Stops tasks to make room for jobs that the round before could not place, the most urgent first. */
@@ -103,6 +105,7 @@
                 break;
             }
         }
+        guests.round(unplaced, nodes, usage, nowS);
     }
 
     /** What to stop for one job, and the room that it takes in the round's view. */
