--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/World.java
@@ -111,6 +111,10 @@
     List<Object> zones = List.of("a");
     /** Seconds from a rental until its machine is up. */
     double bootS = 2;
+    /** Times that machines rented now take to boot. */
+    double bootFactor = 1;
+    /** Of how many machines rented now one never comes up; none if 0. */
+    int neverBootsEvery;
 
     private final Map<String, Team> teams = new HashMap<>();
     private final Map<String, Asked> asked = new LinkedHashMap<>();
@@ -363,7 +367,14 @@
             return false;
         }
         for (Worker w : workers.values()) {
-            if (w.gone || w.cut || w.deaf || w.mute || w.sick || w.hangsUntil > now || now < w.bornS + bootS) {
+            if (w.gone
+                    || w.cut
+                    || w.deaf
+                    || w.mute
+                    || w.sick
+                    || w.hangsUntil > now
+                    || !w.boots
+                    || now < w.bornS + w.bootsInS) {
                 continue;
             }
             if (a.zone != null && !a.zone.equals(w.zone)) {
@@ -913,7 +924,9 @@
                             "loaners",
                             false,
                             "status",
-                            now - w.diedAt > 30 ? "failed" : "running",
+                            now - w.diedAt > 30
+                                    ? "failed"
+                                    : w.boots && now >= w.bornS + w.bootsInS ? "running" : "booting",
                             "ageS",
                             now - w.bornS));
                 }
@@ -926,8 +939,11 @@
     Worker worker(String zone) {
         Worker w = new Worker(String.format("n-%06d", ++rented), zone);
         workers.put(w.name, w);
-        in(bootS, w::beat);
-        in(bootS, w::live);
+        if (neverBootsEvery == 0 || rented % neverBootsEvery > 0) {
+            in(w.bootsInS, w::beat);
+            in(w.bootsInS, w::live);
+            w.boots = true;
+        }
         return w;
     }
 
@@ -958,6 +974,10 @@
         int at;
         boolean gone;
         final double bornS = now;
+        final double bootsInS = bootS * bootFactor;
+        /** Whether it ever comes up. */
+        boolean boots;
+
         double diedAt = Double.POSITIVE_INFINITY;
         /** Every task that starts fails. */
         boolean sick;
@@ -989,7 +1009,7 @@
         Worker(String name, String zone) {
             this.name = name;
             this.zone = zone;
-            this.leaseFrom = now + bootS;
+            this.leaseFrom = now + bootsInS;
         }
 
         boolean reaches(Node n) {
