--- a/src/main/java/org/mountlug/cli/Rehearsal.java
+++ b/src/main/java/org/mountlug/cli/Rehearsal.java
@@ -4,9 +4,11 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.mountlug.node.Daemon;
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
+import org.mountlug.settings.Sizes;
 
 /**
  * A controller's start and its first second, run once by the build so that the classes it needs land in the class-data
@@ -19,7 +21,7 @@
         try {
             Path file = Files.createTempFile("mountlug", ".toml");
             try {
-                int[] ports = new int[4];
+                int[] ports = new int[6];
                 for (int i = 0; i < ports.length; i++) {
                     try (ServerSocket s = new ServerSocket(0)) {
                         ports[i] = s.getLocalPort();
@@ -30,6 +32,14 @@
                         zone = "z"
                         listen = "127.0.0.1:%d"
                         cluster_listen = "127.0.0.1:%d"
+                        [[others]]
+                        label = "b"
+                        zone = "z"
+                        endpoint = "127.0.0.1:%d"
+                        [[others]]
+                        label = "c"
+                        zone = "z"
+                        endpoint = "127.0.0.1:%d"
                         [endpoints]
                         cloud = "127.0.0.1:%d"
                         state = "127.0.0.1:%d"
@@ -51,10 +61,13 @@
                         [cluster.cloud]
                         rps = 4.0
                         list_lag_s = 10.0
-                        """.formatted(ports[0], ports[1], ports[2], ports[3]));
+                        """.formatted(ports[0], ports[1], ports[4], ports[5], ports[2], ports[3]));
                 Settings s = Settings.load(file, Operators.defaults());
-                try (StandIns standIns = new StandIns(ports[3], ports[2])) {
-                    Daemon c = new Daemon(s, Operators.defaults(), java.util.List.of());
+                // One peer answers, the other refuses connections, as after a crash.
+                try (StandIns standIns = new StandIns(ports[3], ports[2], ports[4])) {
+                    standIns.versionsOf("b", "c");
+                    List<String> sizes = Sizes.check(s, Runtime.getRuntime().maxMemory() / 1048576.0);
+                    Daemon c = new Daemon(s, Operators.defaults(), sizes);
                     c.start();
                     standIns.exercise(ports[0]);
                     c.stop();
--- a/src/main/java/org/mountlug/cli/StandIns.java
+++ b/src/main/java/org/mountlug/cli/StandIns.java
@@ -15,20 +15,23 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.mountlug.store.RecordCodec;
 import org.mountlug.wire.Cbor;
 import org.mountlug.wire.Fields;
 
-/** The least of a state service and a cloud that a rehearsal needs, kept in memory on loopback. */
+/** The least of a state service, a cloud and a peer that a rehearsal needs, kept in memory on loopback. */
 final class StandIns implements AutoCloseable {
     private record Row(Object value, long stamp) {}
 
     private final HttpServer state;
     private final HttpServer cloud;
+    private final PeerStandIn peer;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final TreeMap<String, Row> rows = new TreeMap<>();
     private long epoch = 1;
 
-    StandIns(int statePort, int cloudPort) throws IOException {
+    StandIns(int statePort, int cloudPort, int peerPort) throws IOException {
+        peer = new PeerStandIn(peerPort);
         state = serve(statePort);
         cloud = serve(cloudPort);
         state.createContext("/kv", this::read);
@@ -60,6 +63,13 @@
         cloud.start();
     }
 
+    /** Holds that these controllers read the layout of records that this version writes. */
+    synchronized void versionsOf(String... labels) {
+        for (String label : labels) {
+            rows.put(RecordCodec.VERSIONS + label, new Row(Map.of("layout", (long) RecordCodec.LAYOUT), ++epoch));
+        }
+    }
+
     private HttpServer serve(int port) throws IOException {
         HttpServer s = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 16);
         s.setExecutor(threads);
@@ -245,6 +255,7 @@
     public void close() {
         state.stop(0);
         cloud.stop(0);
+        peer.close();
         threads.shutdownNow();
     }
 }
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -115,6 +115,9 @@
     }
 
     private void after(Runnable r, int ms) {
+        if (stopped) {
+            return; // what was on its way ends with the worker
+        }
         io.executeAfter(
                 () -> {
                     if (!stopped) {
