Followers do not send workers back to a leader that says it hears none any more

The leader's own count of reports, which peers exchange, falls to none a second before the first worker comes elsewhere. Ruled out: a slow election (0.2 s) and loading (0.1 s). Tests: ConnectivityTest, 7 cases seen to fail before (all 48 tasks lost in each).

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -97,6 +97,9 @@
     /** Seconds more between two readings, so that each number that is still written was written in between. */
     public static final double STORED_COUNTS_MARGIN_S = 0.5;
 
+    /** Part of the most reports that came to a peer that still counts a second later: a tenth after ten seconds. */
+    public static final double REPORTS_PEAK_KEPT = 0.8;
+
     /** Seconds a term lasts at the least before that is judged: workers find a new leader in two tries of 5 s. */
     public static final double MISSED_AFTER_S = 12;
     /** Seconds for which a leader that gave up leaves the campaign to the others. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -71,6 +71,10 @@
     private final ReportCount reports;
     private final StoredReportCounts storedCounts;
     private final OverloadLog overload = new OverloadLog();
+    /** The revision of the leader key that was last seen, and since when, in steady seconds. */
+    private long leaderStamp = -1;
+
+    private double leaderKnownS;
     /** Steady seconds of the last turn, by which a standstill of the whole process shows. */
     private double lastTurnS;
     /** Steady seconds of the last waking from a standstill. */
@@ -135,6 +139,7 @@
             LOG.info("{} has ended, by its refusals and the others' answers", l);
             election.leaderEnded(l);
         }
+        noteLeader(clockS.getAsDouble());
         overload.look(metrics.overBudgetSoFar(), clockS.getAsDouble());
         shareReportCounts();
         if (missed()) {
@@ -205,6 +210,24 @@
         return elsewhere >= leader.machinesUp() * Constants.MISSED_SHARE;
     }
 
+    /**
+     * Whether the leader says itself that hardly any worker reaches it, long after it began to lead, while workers come
+     * here: sent back, they would wait for an answer in vain until their lease has run out.
+     */
+    private boolean missedByWorkers(String label) {
+        double now = clockS.getAsDouble();
+        return label != null && now - leaderKnownS >= Constants.MISSED_AFTER_S && peerView.reportsCeased(label, now);
+    }
+
+    /** Notes when another leader began to lead, as far as this controller knows. */
+    private void noteLeader(double now) {
+        long stamp = election.seenStamp();
+        if (stamp != leaderStamp) {
+            leaderStamp = stamp;
+            leaderKnownS = now;
+        }
+    }
+
     private boolean mayBeMissed(double now) {
         return leader != null && leader.loaded() && election.proven(now) && leader.termS() >= Constants.MISSED_AFTER_S;
     }
@@ -581,7 +604,7 @@
         reports.add(clockS.getAsDouble());
         if (leader == null || !election.leading()) {
             String l = election.leader();
-            return new Beat.Elsewhere(settings.label().equals(l) ? null : l);
+            return new Beat.Elsewhere(settings.label().equals(l) || missedByWorkers(l) ? null : l);
         }
         noticeStandstill();
         double now = clockS.getAsDouble();
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -15,7 +15,14 @@
  */
 public final class PeerView {
     private record Known(
-            long boot, double sinceS, double untilS, boolean served, double heardS, long token, int reports) {}
+            long boot,
+            double sinceS,
+            double untilS,
+            boolean served,
+            double heardS,
+            long token,
+            int reports,
+            double reportsPeak) {}
 
     private record Abort(String id, double atS) {}
 
@@ -63,9 +70,18 @@
         Known k = known.get(peer);
         // Aborts are listed for keepS only, so a longer gap, like a new process or an overflow, starts anew.
         boolean goesOn = k != null && k.boot() == a.boot() && !a.overflow() && nowS - k.untilS() < keepS / 2;
+        double peak = k == null ? 0 : k.reportsPeak() * Constants.REPORTS_PEAK_KEPT;
         known.put(
                 peer,
-                new Known(a.boot(), goesOn ? k.sinceS() : askedS, askedS, a.served(), nowS, a.token(), a.reports()));
+                new Known(
+                        a.boot(),
+                        goesOn ? k.sinceS() : askedS,
+                        askedS,
+                        a.served(),
+                        nowS,
+                        a.token(),
+                        a.reports(),
+                        Math.max(peak, a.reports())));
     }
 
     /**
@@ -165,6 +181,14 @@
         return n;
     }
 
+    /** Whether next to no report comes to this peer any more, by its own word, while many did some seconds before. */
+    public synchronized boolean reportsCeased(String peer, double nowS) {
+        Known k = known.get(peer);
+        return heardLately(peer, nowS)
+                && k.reportsPeak() >= Constants.MISSED_LEAST
+                && k.reports() <= k.reportsPeak() * Constants.MISSED_HEARS;
+    }
+
     /** The highest leader's token that a peer knows of. */
     public synchronized long highestToken() {
         long t = 0;
--- a/src/test/java/org/mountlug/node/ConnectivityTest.java
+++ b/src/test/java/org/mountlug/node/ConnectivityTest.java
@@ -77,6 +77,28 @@
         assertEquals(List.of(), world.broken());
     }
 
+    /**
+     * With a short lease a worker has one second try. Followers that know from the leader itself that it hears nobody do not
+     * send workers back to it, where they would wait out that try in vain.
+     */
+    @ParameterizedTest(name = "{0} controllers, cut {1} s after a report")
+    @CsvSource({"3, 0.1", "3, 0.9", "5, 0.4", "7, 0.1", "7, 0.6", "7, 1.2", "7, 1.7"})
+    void aShortLeaseOutlivesALeaderWithoutItsWorkers(int controllers, double offsetS) {
+        World world = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 10);
+        world.runS = 100;
+        world.accept(id(1), 48, false, Map.of("dueS", 110.0));
+        assertTrue(world.until(60, () -> starts(world) == 48));
+        world.run(15 + offsetS);
+        World.Node old = world.leader();
+        old.cutFromWorkers = true;
+        world.in(37, () -> old.cutFromWorkers = false);
+        world.run(40);
+        assertTrue(world.leader() != old, "another one leads");
+        assertEquals(48, starts(world), "nothing was lost");
+        world.settle(200);
+        assertEquals(List.of(), world.broken());
+    }
+
     /** A filter between the controllers alone, or machines that nobody hears, are no reason to give way. */
     @ParameterizedTest(name = "{0}")
     @CsvSource({"peers refuse", "machines cut off", "machines cut off and peers refuse"})
