--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -31,6 +31,7 @@
     private final Map<String, Resources> usage;
     private final Resources whole;
     private final double cheapestPrice;
+    private final RefusedNeeds refusedNeeds = new RefusedNeeds();
     private int placedCount;
 
     /** Makes the view of the usable machines for one round; {@code dueOrder} sorts jobs within a queue. */
@@ -365,11 +366,15 @@
         Node n = nodes.get(r.machine());
         if (n != null) {
             n.pipelined = n.pipelined.minus(j.spec.need());
+            refusedNeeds.clear();
         }
     }
 
     private void gang(Job j) {
         List<Reservation> old = cluster.reservations.getOrDefault(j.spec.id(), List.of());
+        if (!old.isEmpty()) {
+            refusedNeeds.clear();
+        }
         Map<Integer, String> nominated = new HashMap<>();
         for (Reservation r : old) {
             nominated.put(r.task(), r.machine());
@@ -540,7 +545,7 @@
             // One task at a time tells whether it still fails; more would only take room from others.
             budget = Math.min(budget, j.placed.isEmpty() ? 1 : 0);
         }
-        if (budget <= 0) {
+        if (budget <= 0 || refusedNeeds.covers(j.spec, spilled)) {
             return;
         }
         List<Node> fit = new ArrayList<>();
@@ -556,6 +561,7 @@
             }
         }
         if (fit.isEmpty()) {
+            refusedNeeds.add(j.spec, spilled);
             return;
         }
         Map<Node, Double> costs = new HashMap<>();
--- /dev/null
+++ b/src/main/java/org/mountlug/core/allocate/RefusedNeeds.java
@@ -0,0 +1,44 @@
+package org.mountlug.core.allocate;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mountlug.core.model.JobSpec;
+import org.mountlug.core.model.Resources;
+
+/**
+ * Needs for which no machine had room in a round. Room only shrinks while tasks are placed, so whatever needs as much under
+ * the same rules of place finds none either, and a swarm of small jobs does not look at every machine for each of them.
+ */
+final class RefusedNeeds {
+    private record Rules(List<String> types, String zone, boolean spot, boolean spilled) {
+        static Rules of(JobSpec spec, boolean spilled) {
+            return new Rules(spec.types(), spec.zone(), spec.spot(), spilled);
+        }
+    }
+
+    private final Map<Rules, List<Resources>> refused = new HashMap<>();
+
+    /** Whether it is known already that a task of this job finds no room. */
+    boolean covers(JobSpec spec, boolean spilled) {
+        for (Resources less : refused.getOrDefault(Rules.of(spec, spilled), List.of())) {
+            if (less.fitsIn(spec.need())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A task of this job has found no room. */
+    void add(JobSpec spec, boolean spilled) {
+        List<Resources> known = refused.computeIfAbsent(Rules.of(spec, spilled), rules -> new ArrayList<>());
+        known.removeIf(more -> spec.need().fitsIn(more));
+        known.add(spec.need());
+    }
+
+    /** Room may have been given back. */
+    void clear() {
+        refused.clear();
+    }
+}
--- a/src/main/java/org/mountlug/core/preempt/GuestPreemption.java
+++ b/src/main/java/org/mountlug/core/preempt/GuestPreemption.java
@@ -115,6 +115,10 @@
             if (node == null || !job.spec.allows(node.machine.type.name(), node.machine.zone, node.machine.spot)) {
                 continue;
             }
+            // On accelerator machines such arrays get only what is left, so room there would go back to guests at once.
+            if (node.machine.type.size().gpus() > 0) {
+                continue;
+            }
             if (node.machine.heldFor != null || !job.zoneAllows(node.machine.zone, 1)) {
                 continue;
             }
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -185,6 +185,7 @@
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, cluster.expectedS(j))));
         Map<String, Resources> usage = cluster.usage();
         cluster.spilling.clear();
+        RefusedDemand refused = new RefusedDemand();
         Map<MachineKind, Integer> wanted = new HashMap<>();
         Map<MachineKind, Wish> out = new LinkedHashMap<>();
         boolean spared = false;
@@ -221,15 +222,15 @@
                 services(s, n, j, vessels, wanted, out, silentZones, nowS);
                 continue;
             }
-            n -= pour(vessels, s, est, horizon, n, plain);
+            n -= pour(vessels, refused, s, est, horizon, n, plain);
             n -= rent(s, est, horizon, n, plain, vessels, wanted, out, silentZones, nowS);
             if (n > 0 && plain) {
                 // Every cheap kind is exhausted: what can wait waits, the rest is worth a dear machine.
                 double patience = Math.max(horizon, slackS(j, nowEpochS) * Constants.SPILL_SHARE);
-                n -= pour(vessels, s, est, patience, n, true);
+                n -= pour(vessels, refused, s, est, patience, n, true);
                 if (n > 0) {
                     cluster.spilling.add(s.id());
-                    n -= pour(vessels, s, est, patience, n, false);
+                    n -= pour(vessels, refused, s, est, patience, n, false);
                     rent(s, est, patience, n, false, vessels, wanted, out, silentZones, nowS);
                 }
             }
@@ -386,17 +387,32 @@
     }
 
     /** Lays up to {@code n} tasks over the vessels; returns how many they take. */
-    private static int pour(List<Vessel> vessels, JobSpec s, double est, double horizon, int n, boolean cheapOnly) {
+    private static int pour(
+            List<Vessel> vessels,
+            RefusedDemand refused,
+            JobSpec s,
+            double est,
+            double horizon,
+            int n,
+            boolean cheapOnly) {
+        boolean upAreFull = refused.covers(s, est, horizon, cheapOnly);
         int taken = 0;
+        int takenByUp = 0;
         for (Vessel v : vessels) {
             if (taken >= n) {
-                break;
+                return taken;
             }
-            if (!s.allows(v.type.name(), v.zone, v.spot)
+            if (upAreFull && v.bootS == 0
+                    || !s.allows(v.type.name(), v.zone, v.spot)
                     || cheapOnly && v.type.size().gpus() > 0) {
                 continue;
             }
-            taken += v.takes(s, est, horizon, n - taken);
+            int k = v.takes(s, est, horizon, n - taken);
+            taken += k;
+            takenByUp += v.bootS == 0 ? k : 0;
+        }
+        if (takenByUp == 0 && !upAreFull) {
+            refused.add(s, est, horizon, cheapOnly);
         }
         return taken;
     }
