--- a/src/main/java/org/mountlug/core/allocate/RefusedNeeds.java
+++ b/src/main/java/org/mountlug/core/allocate/RefusedNeeds.java
@@ -12,9 +12,9 @@
  * the same rules of place finds none either, and a swarm of small jobs does not look at every machine for each of them.
  */
 final class RefusedNeeds {
-    private record Rules(List<String> types, String zone, boolean spot, boolean spilled) {
+    private record Rules(List<String> types, String zone, boolean spot, boolean plain, boolean spilled) {
         static Rules of(JobSpec spec, boolean spilled) {
-            return new Rules(spec.types(), spec.zone(), spec.spot(), spilled);
+            return new Rules(spec.types(), spec.zone(), spec.spot(), spec.need().gpus() == 0, spilled);
         }
     }
 
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -41,6 +41,28 @@
                 1, g.placed.values().stream().map(p -> p.attempt).distinct().count());
     }
 
+    /**
+     * What found no room says nothing of jobs under other rules: work without accelerators gets a part of their machines
+     * only, other zones and spilled work have room of their own, and less may still fit.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({"accelerators, 2, 1", "smaller, 1, 0", "other zone, 2, 0", "the same, 2, 0"})
+    void aRefusalHoldsForTheLikeAlone(String second, double cpus, double gpus) {
+        Cluster c = Samples.cluster();
+        Samples.up(c, "n-1", "gpu", "a");
+        Samples.up(c, "n-2", "small", "a");
+        Samples.live(c, Samples.spec("wk-000001", false, 1, new Resources(3, 0, 1), Urgency.PROD));
+        assertEquals(1, round(c, 1));
+        // Two tasks of whole accelerators leave a gpu machine's rest to nobody without one.
+        Samples.live(c, Samples.spec("wk-000002", false, 1, new Resources(2, 0, 1), Urgency.HIGH));
+        if (second.equals("other zone")) {
+            Samples.up(c, "n-3", "small", "b");
+        }
+        Job job = Samples.live(c, Samples.spec("wk-000003", false, 1, new Resources(cpus, gpus, 1), Urgency.IDLE));
+        round(c, 2);
+        assertEquals(second.equals("the same") ? 0 : 1, job.placed.size());
+    }
+
     @Test
     void aGangThatFitsNeitherNowNorSoonLeavesNoTrace() {
         Cluster c = Samples.cluster();
