--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -72,9 +72,9 @@
 
     // ---- leadership -------------------------------------------------------------------------------------------
     /** Milliseconds; well below a worker's lease, so that a successor answers before leases run out. */
-    public static final int HOLD_LIFE_MS = 4000;
-    /** Milliseconds between renewals: three may be lost before the hold ends. */
-    public static final int HOLD_RENEW_MS = 1000;
+    public static final int LEADER_LEASE_MS = 4000;
+    /** Milliseconds between renewals: three may be lost before the lease ends. */
+    public static final int LEADER_RENEW_MS = 1000;
     /** Milliseconds; a campaign starts after a random part of this, so that two seldom collide. */
     public static final int CAMPAIGN_SPREAD_MS = 300;
     /** Seconds of a process's life in which it campaigns ahead of others: in a rolling restart its turn is over. */
@@ -151,7 +151,7 @@
     public static final double ENDED_HERE_S = 60;
     /** Seconds of the past in which the services asked for tell how much room to keep for the next ones. */
     public static final double SERVICE_RATE_S = 90;
-    /** Seconds beyond a boot for which that room must last: a round, a request, and the next list of wishes. */
+    /** Seconds beyond a boot for which that room must last: a round, a request, and the next list of orders. */
     public static final double SERVICE_ROOM_S = 15;
     /** Seconds for which the price of a machine rented for a service is reckoned. */
     public static final double SERVICE_PAID_S = 600;
@@ -173,11 +173,11 @@
     public static final double HEARS_AGAIN_S = 8;
     /** Reports without a start that was sent before each, after which its machine counts as not hearing us. */
     public static final int IGNORED_STARTS = 2;
-    /** Seconds after which a start sent straight to a worker, neither answered nor seen, must be made impossible. */
+    /** Seconds after which a start sent directly to a worker, neither answered nor seen, must be made impossible. */
     public static final double AT_LARGE_S = 4;
-    /** Milliseconds a worker may take to carry out orders that were sent straight to it. */
+    /** Milliseconds a worker may take to carry out orders that were sent directly to it. */
     public static final int COMMAND_TIMEOUT_MS = 2500;
-    /** Orders on their way straight to workers at the same time; each has a connection of its own. */
+    /** Orders on their way directly to workers at the same time; each has a connection of its own. */
     public static final int COMMANDS_MOST = 48;
     /** Of these, how many may be for starts that nobody waits for by the second: what is left is for those. */
     public static final int COMMANDS_ORDINARY = 16;
@@ -227,15 +227,15 @@
     /** Share of a cheap machine that a job's tasks must be able to fill to be served there in its turn. */
     public static final double PACKS_BADLY = 0.7;
     /** Seconds within which a machine must be expected to come free to be held for a gang. */
-    public static final double HOLD_MAX_S = 60;
-    /** Tasks of one waiting accelerator job for which machines are kept from spilled work. */
-    public static final int SPILL_BAR_TASKS = 8;
-    /** Share of the accelerator machines that may be kept from spilled work at the same time. */
-    public static final double SPILL_BAR_SHARE = 0.5;
+    public static final double MACHINE_HELD_MAX_S = 60;
+    /** Tasks of one waiting accelerator job for which machines are kept from overflowing work. */
+    public static final int OVERFLOW_BAR_TASKS = 8;
+    /** Share of the accelerator machines that may be kept from overflowing work at the same time. */
+    public static final double OVERFLOW_BAR_SHARE = 0.5;
     /** Seconds for which a machine stays barred: about what short tasks need to run out. */
-    public static final double SPILL_BAR_S = 30;
-    /** Share of its slack that work may wait for cheap machines before it spills to dear ones. */
-    public static final double SPILL_SHARE = 0.75;
+    public static final double OVERFLOW_BAR_S = 30;
+    /** Share of its slack that work may wait for cheap machines before it spills to accelerator machines. */
+    public static final double OVERFLOW_SHARE = 0.75;
 
     // ---- machines ---------------------------------------------------------------------------------------------
     /** Milliseconds between two readings of the machine list; it lags by seconds anyway. */
@@ -306,7 +306,7 @@
     // ---- node -------------------------------------------------------------------------------------------------
     /**
      * Seconds between two turns after which the process has stood still: far more than a slow round takes, and less
-     * than a hold or a peer's patience lasts.
+     * than a lease or a peer's patience lasts.
      */
     public static final double STANDSTILL_S = 2.0;
     /** Milliseconds between turns of a node's clock; everything periodic is a multiple of it. */
--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -95,7 +95,7 @@
     /** Answers from a live record. */
     private void answerLive(Reply x, String id, Map<String, Object> v) {
         if (Fields.bool(v, "x")) {
-            withdrawn(x, id);
+            answerCancelled(x, id);
             return;
         }
         int[] counts = RecordCodec.counts(v);
@@ -107,7 +107,7 @@
      * from a poll or from a repeated submission, at whichever node. The abort's own answer may have been lost, so any of
      * them may be the first to tell, and from then on {@code cancel_s} counts: first the leader must be able to know.
      */
-    private void withdrawn(Reply x, String id) {
+    private void answerCancelled(Reply x, String id) {
         node.abortAccepted(id);
         x.send(200, status(id, "withdrawn", 0, 0));
     }
@@ -133,7 +133,7 @@
         if (answeredFinal(x, id)) {
             return;
         }
-        if (!state.mayRead()) {
+        if (!state.takeRead()) {
             x.send(429, null);
             return;
         }
@@ -180,7 +180,7 @@
         if (answeredFinal(x, id)) {
             return;
         }
-        if (!state.maySubmit()) {
+        if (!state.takeSubmission()) {
             x.send(429, null);
             return;
         }
@@ -245,7 +245,7 @@
         if (answeredFinal(x, id)) {
             return;
         }
-        if (tries == 0 || !state.maySubmit()) {
+        if (tries == 0 || !state.takeSubmission()) {
             x.send(tries == 0 ? 503 : 429, null);
             return;
         }
@@ -257,14 +257,14 @@
             } else if (record == null) {
                 answeredFinal(x, id);
             } else if (Fields.bool(record, "x")) {
-                withdrawn(x, id);
+                answerCancelled(x, id);
             } else {
                 Map<String, Object> v = new LinkedHashMap<>(record);
                 v.put("x", true);
                 state.spendRequest();
                 state.commit(new Change().guard(RecordCodec.LIVE + id, stamp).put(RecordCodec.LIVE + id, v), a -> {
                     if (a.status() == 200) {
-                        withdrawn(x, id);
+                        answerCancelled(x, id);
                     } else if (a.status() == 409) {
                         abort(x, id, tries - 1);
                     }
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -46,7 +46,7 @@
             if (!m.usable()) {
                 continue;
             }
-            nodes.put(m.name, new Node(m, cluster.companions(m.type), cluster.companionsOfAll(m.type)));
+            nodes.put(m.name, new Node(m, cluster.acceleratorShare(m.type), cluster.acceleratorShareOfAll(m.type)));
             w = w.plus(m.type.size());
         }
         whole = w;
@@ -102,7 +102,7 @@
             cluster.serviceWaits |= j.spec.service() && j.open() > 0;
         }
         hold(pending);
-        spill(pending);
+        placeOverflow(pending);
         for (Job j : pending) {
             if (!j.spec.gang() && j.open() > 0 && packsBadly(j)) {
                 array(j, false);
@@ -135,7 +135,7 @@
             }
             while (missing-- > 0) {
                 Node best = null;
-                double soonest = Constants.HOLD_MAX_S;
+                double soonest = Constants.MACHINE_HELD_MAX_S;
                 for (Node n : nodes.values()) {
                     Machine m = n.machine;
                     if (m.heldFor != null || j.spec.oneZone() && zone != null && !zone.equals(m.zone)) {
@@ -182,11 +182,11 @@
     }
 
     /**
-     * Work that the cheap machines cannot serve in time gets what accelerator work leaves on dear ones. Where
+     * Work that the cheap machines cannot serve in time gets what accelerator work leaves on accelerator machines. Where
      * accelerator work waits, some machines are barred from it, so that they empty as short tasks end: without that,
      * whole-machine gangs would starve behind a stream of small tasks.
      */
-    private void spill(List<Job> pending) {
+    private void placeOverflow(List<Job> pending) {
         double waiting = 0;
         for (Job j : pending) {
             if (j.spec.need().gpus() == 0
@@ -202,30 +202,33 @@
                     share = Math.min(share, j.spec.need().shareOf(n.machine.type.size()));
                 }
             }
-            waiting += Math.min(j.open(), Constants.SPILL_BAR_TASKS) * share;
+            waiting += Math.min(j.open(), Constants.OVERFLOW_BAR_TASKS) * share;
         }
-        List<Node> dear = new ArrayList<>();
+        List<Node> acceleratorNodes = new ArrayList<>();
         for (Node n : nodes.values()) {
             if (n.machine.type.size().gpus() > 0) {
-                dear.add(n);
+                acceleratorNodes.add(n);
             }
         }
         // The machines with most free accelerators empty first; those barred before stay so.
-        dear.sort(Comparator.comparing((Node n) -> n.machine.noSpillUntilS <= nowS)
+        acceleratorNodes.sort(Comparator.comparing((Node n) -> n.machine.noOverflowUntilS <= nowS)
                 .thenComparingDouble(n -> -n.idle.shareOf(n.machine.type.size()))
                 .thenComparing(n -> n.machine.name));
-        int bar = (int) Math.min(Math.ceil(waiting), Math.ceil(dear.size() * Constants.SPILL_BAR_SHARE));
-        for (int i = 0; i < dear.size(); i++) {
-            Machine m = dear.get(i).machine;
+        int bar = (int) Math.min(Math.ceil(waiting), Math.ceil(acceleratorNodes.size() * Constants.OVERFLOW_BAR_SHARE));
+        for (int i = 0; i < acceleratorNodes.size(); i++) {
+            Machine m = acceleratorNodes.get(i).machine;
             if (i < bar) {
-                m.noSpillUntilS = Math.max(m.noSpillUntilS, nowS + Constants.SPILL_BAR_S);
+                m.noOverflowUntilS = Math.max(m.noOverflowUntilS, nowS + Constants.OVERFLOW_BAR_S);
             } else if (waiting == 0) {
-                m.noSpillUntilS = Double.NEGATIVE_INFINITY;
+                m.noOverflowUntilS = Double.NEGATIVE_INFINITY;
             }
         }
         List<Job> jobs = new ArrayList<>();
         for (Job j : pending) {
-            if (j.open() > 0 && !j.spec.gang() && j.spec.need().gpus() == 0 && cluster.spilling.contains(j.spec.id())) {
+            if (j.open() > 0
+                    && !j.spec.gang()
+                    && j.spec.need().gpus() == 0
+                    && cluster.overflowing.contains(j.spec.id())) {
                 jobs.add(j);
             }
         }
@@ -321,11 +324,11 @@
     }
 
     /**
-     * Spilling work of which a cheap machine would hold so few tasks that much of it stays empty: it gets the cheap
-     * machines last, as it has the dear ones, while what fills the cheap machines has only those.
+     * Overflowing work of which a cheap machine would hold so few tasks that much of it stays empty: it gets the cheap
+     * machines last, as it has the accelerator machines, while what fills the cheap machines has only those.
      */
     private boolean packsBadly(Job j) {
-        if (!cluster.spilling.contains(j.spec.id())) {
+        if (!cluster.overflowing.contains(j.spec.id())) {
             return false;
         }
         double best = 0;
@@ -536,7 +539,7 @@
         return c;
     }
 
-    private void array(Job j, boolean spilled) {
+    private void array(Job j, boolean overflowing) {
         Resources need = j.spec.need();
         Team team = cluster.team(j.spec.team());
         Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
@@ -545,7 +548,7 @@
             // One task at a time tells whether it still fails; more would only take room from others.
             budget = Math.min(budget, j.placed.isEmpty() ? 1 : 0);
         }
-        if (budget <= 0 || refusedNeeds.covers(j.spec, spilled)) {
+        if (budget <= 0 || refusedNeeds.covers(j.spec, overflowing)) {
             return;
         }
         List<Node> fit = new ArrayList<>();
@@ -553,15 +556,16 @@
             if (n.machine.heldFor != null) {
                 continue;
             }
-            if (spilled && (n.machine.type.size().gpus() == 0 || n.machine.noSpillUntilS > nowS)) {
+            if (overflowing && (n.machine.type.size().gpus() == 0 || n.machine.noOverflowUntilS > nowS)) {
                 continue;
             }
-            if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot) && n.countNow(need, spilled) > 0) {
+            if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot)
+                    && n.countNow(need, overflowing) > 0) {
                 fit.add(n);
             }
         }
         if (fit.isEmpty()) {
-            refusedNeeds.add(j.spec, spilled);
+            refusedNeeds.add(j.spec, overflowing);
             return;
         }
         Map<Node, Double> costs = new HashMap<>();
@@ -584,7 +588,7 @@
             if (j.spec.oneZone() && only != null && !only.equals(zone)) {
                 continue;
             }
-            int k = n.countNow(need, spilled);
+            int k = n.countNow(need, overflowing);
             while (k > 0 && budget > 0) {
                 while (task < j.spec.tasks() && !j.wants(task, nowS)) {
                     task++;
@@ -699,7 +703,7 @@
     }
 
     /**
-     * Where every cheap machine would make an image's first replicas late, all of them would go to dear ones, and so
+     * Where every cheap machine would make an image's first replicas late, all of them would go to accelerator machines, and so
      * would those of the next service, as no cheap machine ever got the image. So one replica of many goes to the
      * cheapest place a replica that holds most of them, late as it is, until two such machines have the image.
      */
@@ -734,7 +738,7 @@
 
     /**
      * Lower is better. Seconds count little up to when the replica should run, and much from then on; what it costs to
-     * keep a dear machine for it lies between, as a replica stays for as long as its user wishes.
+     * keep an expensive machine for it lies between, as a replica stays for as long as its user orders.
      */
     private double replicaCost(Job j, int task, Node n) {
         Machine m = n.machine;
--- a/src/main/java/org/mountlug/core/allocate/Node.java
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -14,10 +14,10 @@
     public Resources taken = Resources.ZERO;
 
     /** What a whole machine's worth of accelerator work needs beside the accelerators, of the neediest class seen. */
-    private final Resources companions;
+    private final Resources acceleratorShare;
 
-    /** The same of any class: what a service leaves, as it stays for as long as its user wishes. */
-    private final Resources companionsOfAll;
+    /** The same of any class: what a service leaves, as it stays for as long as its user orders. */
+    private final Resources acceleratorShareOfAll;
 
     /** A view of a machine on which nothing is kept for accelerator work. */
     public Node(Machine m) {
@@ -25,9 +25,9 @@
     }
 
     /** A view of a machine that keeps these parts of it for accelerator work, of higher priority and of any. */
-    public Node(Machine m, Resources companions, Resources companionsOfAll) {
-        this.companions = companions;
-        this.companionsOfAll = companionsOfAll;
+    public Node(Machine m, Resources acceleratorShare, Resources acceleratorShareOfAll) {
+        this.acceleratorShare = acceleratorShare;
+        this.acceleratorShareOfAll = acceleratorShareOfAll;
         machine = m;
         Resources size = m.type == null ? Resources.ZERO : m.type.size();
         // A stray's size may be unknown; nothing is placed beside one until it is gone.
@@ -47,23 +47,23 @@
 
     /**
      * How many tasks fit now. Work without accelerators gets only the part of an accelerator machine that its free
-     * accelerators do not need in proportion, or the dear machines fill up with what runs anywhere.
+     * accelerators do not need in proportion, or the accelerator machines fill up with what runs anywhere.
      */
     public int countNow(Resources need) {
         return countNow(need, false);
     }
 
-    /** The same; spilled work may have the whole machine. */
-    public int countNow(Resources need, boolean spilled) {
+    /** The same; overflowing work may have the whole machine. */
+    public int countNow(Resources need, boolean overflowing) {
         Resources f = future();
         Resources room = new Resources(
                 Math.min(idle.cpus(), f.cpus()), Math.min(idle.gpus(), f.gpus()), Math.min(idle.ramGb(), f.ramGb()));
         Resources size = machine.type == null ? Resources.ZERO : machine.type.size();
-        if (!spilled && need.gpus() == 0 && size.gpus() > 0) {
+        if (!overflowing && need.gpus() == 0 && size.gpus() > 0) {
             double part = Math.max(0, room.gpus()) / size.gpus();
             room = room.minus(new Resources(size.cpus() * part, 0, size.ramGb() * part));
             // What runs beside accelerator work must not be in the way of a gang that could take its place.
-            Resources beside = size.minus(companions);
+            Resources beside = size.minus(acceleratorShare);
             for (Placement p : machine.placed.values()) {
                 if (p.job.spec.need().gpus() == 0 && !p.standby) {
                     beside = beside.minus(p.job.spec.need());
@@ -78,11 +78,11 @@
 
     /** How many replicas fit now: on an accelerator machine only beside all the accelerator work that it could hold. */
     public int countBeside(Resources need) {
-        if (need.gpus() > 0 || machine.type.size().gpus() == 0 || companionsOfAll.isZero()) {
+        if (need.gpus() > 0 || machine.type.size().gpus() == 0 || acceleratorShareOfAll.isZero()) {
             return countNow(need);
         }
         Resources f = future();
-        Resources beside = machine.type.size().minus(companionsOfAll).minus(taken);
+        Resources beside = machine.type.size().minus(acceleratorShareOfAll).minus(taken);
         for (Placement p : machine.placed.values()) {
             if (p.job.spec.need().gpus() == 0 && !p.standby) {
                 beside = beside.minus(p.job.spec.need());
--- a/src/main/java/org/mountlug/core/allocate/RefusedNeeds.java
+++ b/src/main/java/org/mountlug/core/allocate/RefusedNeeds.java
@@ -12,17 +12,17 @@
  * the same rules of place finds none either, and a swarm of small jobs does not look at every machine for each of them.
  */
 final class RefusedNeeds {
-    private record Rules(List<String> types, String zone, boolean spot, boolean plain, boolean spilled) {
-        static Rules of(JobSpec spec, boolean spilled) {
-            return new Rules(spec.types(), spec.zone(), spec.spot(), spec.need().gpus() == 0, spilled);
+    private record Rules(List<String> types, String zone, boolean spot, boolean plain, boolean overflowing) {
+        static Rules of(JobSpec spec, boolean overflowing) {
+            return new Rules(spec.types(), spec.zone(), spec.spot(), spec.need().gpus() == 0, overflowing);
         }
     }
 
     private final Map<Rules, List<Resources>> refused = new HashMap<>();
 
     /** Whether it is known already that a task of this job finds no room. */
-    boolean covers(JobSpec spec, boolean spilled) {
-        for (Resources less : refused.getOrDefault(Rules.of(spec, spilled), List.of())) {
+    boolean covers(JobSpec spec, boolean overflowing) {
+        for (Resources less : refused.getOrDefault(Rules.of(spec, overflowing), List.of())) {
             if (less.fitsIn(spec.need())) {
                 return true;
             }
@@ -31,8 +31,8 @@
     }
 
     /** A task of this job has found no room. */
-    void add(JobSpec spec, boolean spilled) {
-        List<Resources> known = refused.computeIfAbsent(Rules.of(spec, spilled), rules -> new ArrayList<>());
+    void add(JobSpec spec, boolean overflowing) {
+        List<Resources> known = refused.computeIfAbsent(Rules.of(spec, overflowing), rules -> new ArrayList<>());
         known.removeIf(more -> spec.need().fitsIn(more));
         known.add(spec.need());
     }
--- a/src/main/java/org/mountlug/core/allocate/ReplicaTimes.java
+++ b/src/main/java/org/mountlug/core/allocate/ReplicaTimes.java
@@ -34,7 +34,7 @@
         return Math.max(0, Math.min(takes, nowS - j.seenS + takes - within.applyAsDouble(j)));
     }
 
-    /** Whether there may yet be a better place than a dear machine or one that makes it late. */
+    /** Whether there may yet be a better place than an accelerator machine or one that makes it late. */
     public boolean mayWait(Job j) {
         return nowS - j.seenS < Constants.CHEAP_FIRST_S;
     }
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -66,8 +66,8 @@
     private EventSummary events = new EventSummary();
     private long lostTasks;
     private long failedTasks;
-    /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole dear ones. */
-    public final Set<String> spilling = new HashSet<>();
+    /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole accelerator machines. */
+    public final Set<String> overflowing = new HashSet<>();
 
     /** Whether room came free, since it was last asked, while some gang waits for room that it has reserved. */
     private boolean roomCameFree;
@@ -270,7 +270,7 @@
     }
 
     /** The same without preference: what the neediest accelerator work of any priority needs when it fills the type. */
-    public Resources companionsOfAll(MachineType t) {
+    public Resources acceleratorShareOfAll(MachineType t) {
         Resources r = Resources.ZERO;
         if (t.size().gpus() <= 0) {
             return r;
@@ -290,7 +290,7 @@
      * What accelerator work needs of this type beside the accelerators when it fills it, of the neediest class that may
      * take the place of another. Where none may, what runs beside is in nobody's way.
      */
-    public Resources companions(MachineType t) {
+    public Resources acceleratorShare(MachineType t) {
         Resources r = Resources.ZERO;
         if (t.size().gpus() <= 0) {
             return r;
@@ -450,7 +450,7 @@
             event("found " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""), m.name);
         }
         if (!r.newerThan(m.session, m.sequence)) {
-            // Overtaken by the answer to orders sent straight to the worker, it may still be the one report that it
+            // Overtaken by the answer to orders sent directly to the worker, it may still be the one report that it
             // waits
             // for, and then what we answer renews its lease. A copy of a report that we had is no such thing, nor is
             // one
@@ -525,7 +525,7 @@
         return orders;
     }
 
-    // ---- straight to workers ----------------------------------------------------------------------------------
+    // ---- directly to workers ----------------------------------------------------------------------------------
 
     /**
      * Orders that are worth a message of their own instead of waiting for the machine's next report: stops, which free
@@ -578,7 +578,7 @@
         }
         for (Order o : orders) {
             Placement p = m.placed.get(o.task());
-            // Not sent straight again, or a worker that refuses connections is called ten times a second; answers carry
+            // Not sent directly again, or a worker that refuses connections is called ten times a second; answers carry
             // it.
             if (p == null || p.attempt != o.attempt() || o.verb() == Order.Verb.STOP) {
                 continue;
@@ -589,7 +589,7 @@
     }
 
     /**
-     * A worker's report as it comes back from orders sent straight to it. It renews no lease, and what it lacks may
+     * A worker's report as it comes back from orders sent directly to it. It renews no lease, and what it lacks may
      * still come by an answer on its way, so it only shows what is there.
      */
     public void carriedOut(Machine m, Report r, List<Order> orders, double nowS) {
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -31,7 +31,7 @@
     public long session;
 
     public long sequence = -1;
-    /** Sequence of the newest message that was a report, not the answer to orders sent straight here. */
+    /** Sequence of the newest message that was a report, not the answer to orders sent directly here. */
     long reportSequence = -1;
     /** Whether a report carried our own token: from then on no older leader's word can take effect. */
     public boolean synced;
@@ -69,15 +69,15 @@
     public double idleSinceS;
     /** The gang for which it is kept from being filled again, or null. */
     public String heldFor;
-    /** Steady seconds until which no spilled work is added, so that accelerator work can have it. */
-    public double noSpillUntilS = Double.NEGATIVE_INFINITY;
+    /** Steady seconds until which no overflowing work is added, so that accelerator work can have it. */
+    public double noOverflowUntilS = Double.NEGATIVE_INFINITY;
 
     public final Map<String, Placement> placed = new LinkedHashMap<>();
     /** Attempts it reports that no record places here; they occupy room until they exit. */
     public final Map<String, Report.Item> strays = new HashMap<>();
 
     public final Map<String, Ended> ended = new HashMap<>();
-    /** Attempts whose start was sent straight here and never answered for; not to be forgotten in this session. */
+    /** Attempts whose start was sent directly here and never answered for; not to be forgotten in this session. */
     public final Set<String> atLarge = new HashSet<>();
 
     public final Set<String> images = new LinkedHashSet<>();
--- a/src/main/java/org/mountlug/core/lead/Election.java
+++ b/src/main/java/org/mountlug/core/lead/Election.java
@@ -3,7 +3,7 @@
 import org.mountlug.Constants;
 
 /**
- * Who may act for the controllers. A node leads while the leader key on its hold is its own; the key's revision is the
+ * Who may act for the controllers. A node leads while the leader key on its lease is its own; the key's revision is the
  * fencing token, which renewals leave alone and every new term raises. Calls say what happened; {@link #next} says what
  * to do.
  */
@@ -12,10 +12,10 @@
     public enum Step {
         NONE,
         LOOK,
-        OPEN_HOLD,
+        OPEN_LEASE,
         CAMPAIGN,
         RENEW,
-        DROP_OLD_HOLD
+        DROP_OLD_LEASE
     }
 
     private final String label;
@@ -23,7 +23,7 @@
     private boolean busy;
     private boolean leading;
     private long token;
-    private long hold;
+    private long lease;
     private double validUntilS = Double.NEGATIVE_INFINITY;
     private double lastRenewS;
     private boolean keyFree;
@@ -31,9 +31,9 @@
     private double nextLookS;
     private String leader;
     private long seenStamp;
-    private long oldHold;
-    /** The leader's hold, 0 once given up for ended. */
-    private long leaderHold;
+    private long oldLease;
+    /** The leader's lease, 0 once given up for ended. */
+    private long leaderLease;
 
     private double resignedUntilS = Double.NEGATIVE_INFINITY;
 
@@ -54,13 +54,13 @@
     }
 
     /** The lease that this controller has opened, 0 if none. */
-    public long hold() {
-        return hold;
+    public long lease() {
+        return lease;
     }
 
     /** The lease that has to be dropped, 0 if none. */
-    public long oldHold() {
-        return oldHold;
+    public long oldLease() {
+        return oldLease;
     }
 
     /** Tells this process from others of the same label. */
@@ -73,7 +73,7 @@
         return leading ? label : leader;
     }
 
-    /** Whether the hold is proven to be ours at this time; without that nothing may be started. */
+    /** Whether the lease is proven to be ours at this time; without that nothing may be started. */
     public boolean proven(double nowS) {
         return leading && nowS < validUntilS;
     }
@@ -84,16 +84,16 @@
             return Step.NONE;
         }
         if (leading) {
-            if (nowS - lastRenewS < Constants.HOLD_RENEW_MS / 1000.0) {
+            if (nowS - lastRenewS < Constants.LEADER_RENEW_MS / 1000.0) {
                 return Step.NONE;
             }
             return act(Step.RENEW);
         }
-        if (oldHold != 0) {
-            return act(Step.DROP_OLD_HOLD);
+        if (oldLease != 0) {
+            return act(Step.DROP_OLD_LEASE);
         }
         if (keyFree && nowS >= campaignAtS) {
-            return act(hold == 0 ? Step.OPEN_HOLD : Step.CAMPAIGN);
+            return act(lease == 0 ? Step.OPEN_LEASE : Step.CAMPAIGN);
         }
         if (!keyFree && nowS >= nextLookS) {
             nextLookS = nowS + Constants.CAMPAIGN_RETRY_MS / 1000.0;
@@ -108,7 +108,7 @@
     }
 
     /** The leader key was read; {@code who} null means there is none. {@code random} in [0,1). */
-    public void looked(double nowS, String who, String itsNonce, long itsHold, long stamp, double random) {
+    public void looked(double nowS, String who, String itsNonce, long itsLease, long stamp, double random) {
         busy = false;
         if (leading) {
             return;
@@ -120,15 +120,15 @@
         keyFree = false;
         seenStamp = stamp;
         leader = who.equals(label) ? null : who;
-        leaderHold = itsHold;
+        leaderLease = itsLease;
         if (!who.equals(label)) {
             return;
         }
-        if (nonce.equals(itsNonce) && itsHold == hold) {
+        if (nonce.equals(itsNonce) && itsLease == lease) {
             won(nowS, stamp); // a campaign whose answer was lost
         } else {
-            // An earlier process of this label is dead, or we would not run: no need to wait for its hold.
-            oldHold = itsHold;
+            // An earlier process of this label is dead, or we would not run: no need to wait for its lease.
+            oldLease = itsLease;
         }
     }
 
@@ -149,28 +149,28 @@
     }
 
     /**
-     * Gives up leading, as somebody else can do it better: the hold is dropped, so that the others need not wait for
+     * Gives up leading, as somebody else can do it better: the lease is dropped, so that the others need not wait for
      * its end, and for a while the campaign is theirs.
      */
     public void resign(double nowS) {
         if (!leading) {
             return;
         }
-        oldHold = hold;
+        oldLease = lease;
         depose();
         resignedUntilS = nowS + Constants.RESIGNED_S;
     }
 
     /**
-     * The leader's process has ended, by all that its peers can tell: its hold need not be waited for. Should it live
-     * after all, it is deposed like any other, as every transaction of its is guarded by the key that goes with the hold.
+     * The leader's process has ended, by all that its peers can tell: its lease need not be waited for. Should it live
+     * after all, it is deposed like any other, as every transaction of its is guarded by the key that goes with the lease.
      */
     public void leaderEnded(String who) {
-        if (leading || !who.equals(leader) || leaderHold == 0) {
+        if (leading || !who.equals(leader) || leaderLease == 0) {
             return;
         }
-        oldHold = leaderHold;
-        leaderHold = 0;
+        oldLease = leaderLease;
+        leaderLease = 0;
     }
 
     /** A step got no usable answer. */
@@ -179,23 +179,23 @@
         if (!leading) {
             nextLookS = nowS + Constants.CAMPAIGN_RETRY_MS / 1000.0;
             keyFree = false;
-            hold = 0;
+            lease = 0;
         } else {
-            lastRenewS = nowS - Constants.HOLD_RENEW_MS / 1000.0 * 0.6;
+            lastRenewS = nowS - Constants.LEADER_RENEW_MS / 1000.0 * 0.6;
         }
     }
 
     /** The request to drop the old lease has been answered. */
-    public void oldHoldDropped(double nowS) {
+    public void oldLeaseDropped(double nowS) {
         busy = false;
-        oldHold = 0;
+        oldLease = 0;
         nextLookS = nowS;
     }
 
     /** A lease was opened by a request that was sent at {@code askedS}. */
-    public void holdOpened(double askedS, long id) {
+    public void leaseOpened(double askedS, long id) {
         busy = false;
-        hold = id;
+        lease = id;
         lastRenewS = askedS;
     }
 
@@ -206,7 +206,7 @@
             won(nowS, epoch);
         } else {
             keyFree = false;
-            hold = 0;
+            lease = 0;
             nextLookS = nowS;
         }
     }
@@ -215,12 +215,12 @@
         leading = true;
         token = stamp;
         keyFree = false;
-        // The hold was opened at lastRenewS or later, so its life is counted from there.
+        // The lease was opened at lastRenewS or later, so its life is counted from there.
         validUntilS = until(lastRenewS);
     }
 
     private double until(double askedS) {
-        return askedS + Constants.HOLD_LIFE_MS / 1000.0 * (1 - Constants.DRIFT) - Constants.PROOF_MARGIN_S;
+        return askedS + Constants.LEADER_LEASE_MS / 1000.0 * (1 - Constants.DRIFT) - Constants.PROOF_MARGIN_S;
     }
 
     /** A renewal was answered; {@code askedS} is when it was sent, the earliest moment from which it counts. */
@@ -237,10 +237,10 @@
         }
     }
 
-    /** A guarded transaction failed on the leader key, the hold ended, or a worker knows a higher token. */
+    /** A guarded transaction failed on the leader key, the lease ended, or a worker knows a higher token. */
     public void depose() {
         leading = false;
-        hold = 0;
+        lease = 0;
         keyFree = false;
         leader = null;
         nextLookS = 0;
--- a/src/main/java/org/mountlug/core/model/Placement.java
+++ b/src/main/java/org/mountlug/core/model/Placement.java
@@ -20,13 +20,13 @@
     /** Sequence of the report whose answer carried the start, or -1 while none did. */
     public long startSentIn = -1;
     /**
-     * Whether its start was sent straight to the worker and no answer tells what became of it: it may yet take effect
+     * Whether its start was sent directly to the worker and no answer tells what became of it: it may yet take effect
      * for as long as the worker's session lasts, so no report of that session proves that it is not there.
      */
     public boolean startAtLarge;
-    /** Steady seconds at which its start was sent straight to the worker, NaN if it was not. */
+    /** Steady seconds at which its start was sent directly to the worker, NaN if it was not. */
     public double sentS = Double.NaN;
-    /** Whether its stop was sent straight to the worker. */
+    /** Whether its stop was sent directly to the worker. */
     public boolean stopSent;
     /** How many reports lacked it after its start had left. */
     public int ignored;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -64,7 +64,7 @@
     }
 
     /** Room of a machine, in parts of the machine times seconds. */
-    private static final class Vessel {
+    private static final class PlannedMachine {
         final MachineType type;
         final String zone;
         final boolean spot;
@@ -74,11 +74,11 @@
 
         double load;
 
-        Vessel(MachineType type, String zone, boolean spot, double bootS) {
+        PlannedMachine(MachineType type, String zone, boolean spot, double bootS) {
             this(type, zone, spot, bootS, type.size());
         }
 
-        Vessel(MachineType type, String zone, boolean spot, double bootS, Resources size) {
+        PlannedMachine(MachineType type, String zone, boolean spot, double bootS, Resources size) {
             this.size = size;
             this.type = type;
             this.zone = zone;
@@ -127,13 +127,13 @@
         return Math.min(Constants.HORIZON_MAX_S, Math.max(Constants.HORIZON_MIN_S, slack * Constants.HORIZON_SHARE));
     }
 
-    private record Wish(MachineKind kind, int count) {}
+    private record KindOrder(MachineKind kind, int count) {}
 
     /** What to rent now. */
     public List<Rental> rentals(double nowS, double nowEpochS) {
         boots.observe(nowS);
         Set<String> silentZones = silentZones(nowS);
-        List<Vessel> vessels = new ArrayList<>();
+        List<PlannedMachine> planned = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS)) {
                 continue;
@@ -147,13 +147,13 @@
             if (!m.cameUp() && m.placed.isEmpty() && boots.overdue(m, nowS)) {
                 continue;
             }
-            // After an outage or a cut a whole room has lost its leases and is deaf until its next two reports: rented
+            // After an outage or a cut a whole zone has lost its leases and is deaf until its next two reports: rented
             // for at once, it would be there twice.
             boolean back = m.up && !silent && m.deaf;
             if (back && cluster.unheardS(m, nowS) > leaseS) {
                 continue;
             }
-            Vessel v = new Vessel(
+            PlannedMachine v = new PlannedMachine(
                     m.type,
                     m.zone,
                     m.spot,
@@ -171,9 +171,9 @@
                 double left = Math.max(2, cluster.expectedS(p.job) - ran);
                 v.load += left * p.job.spec.need().shareOf(v.size);
             }
-            vessels.add(v);
+            planned.add(v);
         }
-        vessels.sort(Comparator.comparingDouble(v -> v.bootS));
+        planned.sort(Comparator.comparingDouble(v -> v.bootS));
         List<Job> jobs = new ArrayList<>();
         for (Job j : cluster.jobs.values()) {
             if (!j.cancelled && wanting(j) > 0 && !cluster.reservations.containsKey(j.spec.id())) {
@@ -184,17 +184,17 @@
                 .reversed()
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, cluster.expectedS(j))));
         Map<String, Resources> usage = cluster.usage();
-        cluster.spilling.clear();
+        cluster.overflowing.clear();
         RefusedDemand refused = new RefusedDemand();
         Map<MachineKind, Integer> wanted = new HashMap<>();
-        Map<MachineKind, Wish> out = new LinkedHashMap<>();
-        boolean spared = false;
+        Map<MachineKind, KindOrder> out = new LinkedHashMap<>();
+        boolean headroomKept = false;
         for (Job j : jobs) {
             JobSpec s = j.spec;
-            if (!s.service() && !spared) {
+            if (!s.service() && !headroomKept) {
                 // Ahead of what ends: room that the next services will need.
-                spare(vessels, wanted, out, silentZones, nowS, nowEpochS);
-                spared = true;
+                keepHeadroom(planned, wanted, out, silentZones, nowS, nowEpochS);
+                headroomKept = true;
             }
             int n = wanting(j);
             if (j.failureHistory.suspected()) {
@@ -219,24 +219,24 @@
             double horizon = horizonS(j, nowEpochS);
             boolean plain = s.need().gpus() == 0;
             if (s.service()) {
-                services(s, n, j, vessels, wanted, out, silentZones, nowS);
+                services(s, n, j, planned, wanted, out, silentZones, nowS);
                 continue;
             }
-            n -= pour(vessels, refused, s, est, horizon, n, plain);
-            n -= rent(s, est, horizon, n, plain, vessels, wanted, out, silentZones, nowS);
+            n -= assign(planned, refused, s, est, horizon, n, plain);
+            n -= rent(s, est, horizon, n, plain, planned, wanted, out, silentZones, nowS);
             if (n > 0 && plain) {
-                // Every cheap kind is exhausted: what can wait waits, the rest is worth a dear machine.
-                double patience = Math.max(horizon, slackS(j, nowEpochS) * Constants.SPILL_SHARE);
-                n -= pour(vessels, refused, s, est, patience, n, true);
+                // Every cheap kind is exhausted: what can wait waits, the rest is worth an accelerator machine.
+                double patience = Math.max(horizon, slackS(j, nowEpochS) * Constants.OVERFLOW_SHARE);
+                n -= assign(planned, refused, s, est, patience, n, true);
                 if (n > 0) {
-                    cluster.spilling.add(s.id());
-                    n -= pour(vessels, refused, s, est, patience, n, false);
-                    rent(s, est, patience, n, false, vessels, wanted, out, silentZones, nowS);
+                    cluster.overflowing.add(s.id());
+                    n -= assign(planned, refused, s, est, patience, n, false);
+                    rent(s, est, patience, n, false, planned, wanted, out, silentZones, nowS);
                 }
             }
         }
-        if (!spared) {
-            spare(vessels, wanted, out, silentZones, nowS, nowEpochS);
+        if (!headroomKept) {
+            keepHeadroom(planned, wanted, out, silentZones, nowS, nowEpochS);
         }
         return requests(out.values());
     }
@@ -283,9 +283,9 @@
             JobSpec s,
             int n,
             Job j,
-            List<Vessel> vessels,
+            List<PlannedMachine> planned,
             Map<MachineKind, Integer> wanted,
-            Map<MachineKind, Wish> out,
+            Map<MachineKind, KindOrder> out,
             Set<String> silentZones,
             double nowS) {
         boolean plain = s.need().gpus() == 0;
@@ -298,7 +298,7 @@
                 }
             }
         }
-        for (Vessel v : vessels) {
+        for (PlannedMachine v : planned) {
             if (n <= 0) {
                 return;
             }
@@ -329,9 +329,9 @@
                     full.add(z);
                 }
             });
-            int got = rent(s, 0, 0, asked, plain, vessels, wanted, out, full, nowS);
+            int got = rent(s, 0, 0, asked, plain, planned, wanted, out, full, nowS);
             if (got <= 0 && plain) {
-                got = rent(s, 0, 0, asked, false, vessels, wanted, out, full, nowS);
+                got = rent(s, 0, 0, asked, false, planned, wanted, out, full, nowS);
             }
             if (got <= 0) {
                 if (!s.apart()) {
@@ -341,7 +341,7 @@
                 continue;
             }
             n -= got;
-            String zone = vessels.get(vessels.size() - 1).zone;
+            String zone = planned.get(planned.size() - 1).zone;
             int k = got;
             zoneLeft.computeIfPresent(zone, (z, x) -> x - k);
         }
@@ -376,35 +376,35 @@
      * Room for services that are yet to come, which cannot wait for a boot: as much as was lately asked for in the time
      * that one takes. Work that ends may use it meanwhile; a service takes its place.
      */
-    private void spare(
-            List<Vessel> vessels,
+    private void keepHeadroom(
+            List<PlannedMachine> planned,
             Map<MachineKind, Integer> wanted,
-            Map<MachineKind, Wish> out,
+            Map<MachineKind, KindOrder> out,
             Set<String> silentZones,
             double nowS,
             double nowEpochS) {
-        expectedReplicas(nowEpochS).forEach((s, n) -> services(s, n, null, vessels, wanted, out, silentZones, nowS));
+        expectedReplicas(nowEpochS).forEach((s, n) -> services(s, n, null, planned, wanted, out, silentZones, nowS));
     }
 
-    /** Lays up to {@code n} tasks over the vessels; returns how many they take. */
-    private static int pour(
-            List<Vessel> vessels,
+    /** Lays up to {@code n} tasks over the planned; returns how many they take. */
+    private static int assign(
+            List<PlannedMachine> planned,
             RefusedDemand refused,
             JobSpec s,
             double est,
             double horizon,
             int n,
-            boolean cheapOnly) {
-        boolean upAreFull = refused.covers(s, est, horizon, cheapOnly);
+            boolean plainOnly) {
+        boolean upAreFull = refused.covers(s, est, horizon, plainOnly);
         int taken = 0;
         int takenByUp = 0;
-        for (Vessel v : vessels) {
+        for (PlannedMachine v : planned) {
             if (taken >= n) {
                 return taken;
             }
             if (upAreFull && v.bootS == 0
                     || !s.allows(v.type.name(), v.zone, v.spot)
-                    || cheapOnly && v.type.size().gpus() > 0) {
+                    || plainOnly && v.type.size().gpus() > 0) {
                 continue;
             }
             int k = v.takes(s, est, horizon, n - taken);
@@ -412,7 +412,7 @@
             takenByUp += v.bootS == 0 ? k : 0;
         }
         if (takenByUp == 0 && !upAreFull) {
-            refused.add(s, est, horizon, cheapOnly);
+            refused.add(s, est, horizon, plainOnly);
         }
         return taken;
     }
@@ -423,19 +423,19 @@
             double est,
             double horizon,
             int n,
-            boolean cheapOnly,
-            List<Vessel> vessels,
+            boolean plainOnly,
+            List<PlannedMachine> planned,
             Map<MachineKind, Integer> wanted,
-            Map<MachineKind, Wish> out,
+            Map<MachineKind, KindOrder> out,
             Set<String> silentZones,
             double nowS) {
         int left = n;
         while (left > 0) {
-            Vessel best = null;
+            PlannedMachine best = null;
             int machines = 0;
             double least = Double.MAX_VALUE;
             for (MachineType t : cluster.types()) {
-                if (!s.allows(t) || cheapOnly && t.size().gpus() > 0) {
+                if (!s.allows(t) || plainOnly && t.size().gpus() > 0) {
                     continue;
                 }
                 for (String zone : t.zones()) {
@@ -455,7 +455,7 @@
                             continue;
                         }
                         double bootS = t.bootS() * boots.slowness(candidate, nowS);
-                        int per = new Vessel(t, zone, spot, bootS).takes(s, est, horizon, left);
+                        int per = new PlannedMachine(t, zone, spot, bootS).takes(s, est, horizon, left);
                         if (per == 0) {
                             continue;
                         }
@@ -475,7 +475,7 @@
                                 / (1 - boots.lossRate(candidate, nowS));
                         if (c < least) {
                             least = c;
-                            best = new Vessel(t, zone, spot, bootS);
+                            best = new PlannedMachine(t, zone, spot, bootS);
                             machines = count;
                         }
                     }
@@ -492,20 +492,20 @@
             }
             wanted.put(kind, have + take);
             for (int i = 0; i < take && left > 0; i++) {
-                Vessel v = new Vessel(best.type, best.zone, best.spot, best.bootS);
+                PlannedMachine v = new PlannedMachine(best.type, best.zone, best.spot, best.bootS);
                 left -= Math.max(1, v.takes(s, est, horizon, left));
-                vessels.add(v);
+                planned.add(v);
             }
-            out.put(kind, new Wish(kind, have + take));
+            out.put(kind, new KindOrder(kind, have + take));
         }
         return n - Math.max(0, left);
     }
 
-    /** The wishes as requests, each within what one may name; the first of every kind before any second. */
-    private List<Rental> requests(Iterable<Wish> wishes) {
+    /** The orders as requests, each within what one may name; the first of every kind before any second. */
+    private List<Rental> requests(Iterable<KindOrder> orders) {
         List<Rental> l = new ArrayList<>();
         for (int k = 0; k < Constants.RENT_CALLS_A_KIND; k++) {
-            for (Wish w : wishes) {
+            for (KindOrder w : orders) {
                 int count = Math.min(Constants.RENT_MAX, w.count - k * Constants.RENT_MAX);
                 if (count > 0) {
                     MachineKind kind = w.kind;
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -195,7 +195,7 @@
     }
 
     /**
-     * Whether the workers cannot reach us, though they reach the others, who send them to us. Our hold would go on and
+     * Whether the workers cannot reach us, though they reach the others, who send them to us. Our lease would go on and
      * on, and with it all that runs would lose its lease: another one must lead.
      */
     private boolean missed() {
@@ -286,11 +286,12 @@
                         election.failed(clockS.getAsDouble());
                     }
                 });
-            case DROP_OLD_HOLD -> state.drop(election.oldHold(), a -> election.oldHoldDropped(clockS.getAsDouble()));
-            case OPEN_HOLD ->
-                state.hold(Constants.HOLD_LIFE_MS, a -> {
+            case DROP_OLD_LEASE ->
+                state.dropLease(election.oldLease(), a -> election.oldLeaseDropped(clockS.getAsDouble()));
+            case OPEN_LEASE ->
+                state.openLease(Constants.LEADER_LEASE_MS, a -> {
                     if (a.status() == 200) {
-                        election.holdOpened(now, Fields.num(a.body(), "hold", 0));
+                        election.leaseOpened(now, Fields.num(a.body(), "hold", 0));
                         lead();
                     } else {
                         election.failed(clockS.getAsDouble());
@@ -300,9 +301,9 @@
                 Map<String, Object> v = new LinkedHashMap<>();
                 v.put("node", settings.label());
                 v.put("nonce", election.nonce());
-                v.put("hold", election.hold());
+                v.put("hold", election.lease());
                 state.commit(
-                        new Change().guard(RecordCodec.LEADER, 0).put(RecordCodec.LEADER, v, election.hold()), a -> {
+                        new Change().guard(RecordCodec.LEADER, 0).put(RecordCodec.LEADER, v, election.lease()), a -> {
                             if (a.status() == 200) {
                                 election.campaigned(clockS.getAsDouble(), true, Fields.num(a.body(), "epoch", 0));
                                 lead();
@@ -314,11 +315,11 @@
                         });
             }
             case RENEW ->
-                state.renew(election.hold(), a -> {
+                state.renewLease(election.lease(), a -> {
                     if (a.status() == 200) {
                         election.renewed(now, true);
                     } else if (a.status() == 404) {
-                        LOG.info("deposed: the hold ended");
+                        LOG.info("deposed: the lease ended");
                         election.renewed(now, false);
                     } else {
                         election.failed(clockS.getAsDouble());
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -61,7 +61,7 @@
     private final StateClient state;
     private final Calls cloud;
     private final Function<String, Calls> workers;
-    /** Machines with orders on their way that were sent straight to them. */
+    /** Machines with orders on their way that were sent directly to them. */
     private final Set<String> commanded = new HashSet<>();
 
     private final DoubleSupplier clockS;
@@ -118,7 +118,7 @@
     private double nextRoundS;
     private double lastRoundS;
     /** Whether somebody waits for the next round by the second. */
-    private boolean hurry;
+    private boolean roundWanted;
 
     private double nextListS;
     private double nextCatalogueS;
@@ -209,7 +209,7 @@
             // Counted from its submission, or every change of leader would start its wait anew.
             j.seenS = now - Math.max(0, (epochMs.getAsLong() - j.spec.submittedMs()) / 1000.0);
             cluster.load(j, now);
-            hurry |= j.spec.gang() || j.spec.service() || j.spec.need().gpus() > 0;
+            roundWanted |= j.spec.gang() || j.spec.service() || j.spec.need().gpus() > 0;
             if (j.cancelled && cluster.jobs.get(j.spec.id()) == j) {
                 j.cancelled = false;
                 cluster.cancelled(j, now);
@@ -386,11 +386,11 @@
             list(now, null, new ArrayList<>());
         }
         if (cluster.roomCameFree()) {
-            hurry = true;
+            roundWanted = true;
         }
-        boolean early = hurry && now >= lastRoundS + Constants.EARLY_ROUND_MS / 1000.0;
+        boolean early = roundWanted && now >= lastRoundS + Constants.EARLY_ROUND_MS / 1000.0;
         if (now >= nextRoundS || early) {
-            hurry = false;
+            roundWanted = false;
             lastRoundS = now;
             if (early) {
                 nextRoundS = now + Constants.ROUND_MS / 1000.0;
@@ -402,7 +402,7 @@
                 nextFlushS = 0;
             }
         }
-        straight(now);
+        sendDirectCommands(now);
         if (now >= nextImagesS) {
             nextImagesS = now + Constants.IMAGES_MS / 1000.0;
             writeImages(now);
@@ -413,8 +413,8 @@
         }
     }
 
-    /** Sends what must not wait for a machine's next report straight to its worker. */
-    private void straight(double now) {
+    /** Sends what must not wait for a machine's next report directly to its worker. */
+    private void sendDirectCommands(double now) {
         // Stops of cancelled jobs leave without a proof of leading, too: no write to a state service that does not
         // serve
         // us may be waited for, and a later leader's worker refuses them by their token.
@@ -441,13 +441,13 @@
                             a -> {
                                 commanded.remove(m.name);
                                 if (!ended) {
-                                    answered(m, session, orders, a);
+                                    commandsAnswered(m, session, orders, a);
                                 }
                             });
         }
     }
 
-    private void answered(Machine m, long session, List<Order> orders, Http.Answer a) {
+    private void commandsAnswered(Machine m, long session, List<Order> orders, Http.Answer a) {
         Report r = a.status() == 200 || a.status() == 409 ? AgentCodec.report(a.body()) : null;
         if (r != null && r.token() > cluster.token()) {
             LOG.info("deposed: {} knows token {}", m.name, r.token());
@@ -493,7 +493,7 @@
             parts = true;
             cluster.partsAllowed();
             double at = clockS.getAsDouble();
-            // What may be larger than the limits to come is written anew while it need not be in a hurry.
+            // What may be larger than the limits to come is written anew while it need not be in a roundWanted.
             for (Job j : cluster.jobs.values()) {
                 if (mustSplit(j)) {
                     j.touch(at, false);
@@ -527,7 +527,7 @@
     }
 
     private void round(double now) {
-        // Judging by silence needs a hold: otherwise another leader may be keeping the machines alive.
+        // Judging by silence needs a lease: otherwise another leader may be keeping the machines alive.
         if (!election.proven(now)) {
             return;
         }
--- a/src/main/java/org/mountlug/store/Change.java
+++ b/src/main/java/org/mountlug/store/Change.java
@@ -35,11 +35,11 @@
     }
 
     /** Writes a key that goes when the lease ends. */
-    public Change put(String key, Map<String, Object> value, long hold) {
+    public Change put(String key, Map<String, Object> value, long lease) {
         Map<String, Object> w = new LinkedHashMap<>();
         w.put("put", key);
         w.put("v", value);
-        w.put("hold", hold);
+        w.put("hold", lease);
         writes.add(w);
         return this;
     }
--- a/src/main/java/org/mountlug/store/StateClient.java
+++ b/src/main/java/org/mountlug/store/StateClient.java
@@ -37,7 +37,7 @@
     }
 
     /** Takes a read for a user from the budget, false if none is left. */
-    public boolean mayRead() {
+    public boolean takeRead() {
         return requests.take(clockS.getAsDouble(), 1);
     }
 
@@ -47,7 +47,7 @@
     }
 
     /** Takes a submission or cancellation from the budget, false if none is left. */
-    public boolean maySubmit() {
+    public boolean takeSubmission() {
         boolean may = submits.take(clockS.getAsDouble(), 1);
         if (may) {
             spendRequest();
@@ -98,18 +98,18 @@
     }
 
     /** Opens a lease. */
-    public void hold(int lifeMs, Consumer<Http.Answer> then) {
+    public void openLease(int lifeMs, Consumer<Http.Answer> then) {
         calls.call(Methods.POST, "/holds", Map.of("lifeMs", (long) lifeMs), Constants.STATE_TIMEOUT_MS, noting(then));
     }
 
     /** Renews a lease. */
-    public void renew(long hold, Consumer<Http.Answer> then) {
-        calls.call(Methods.POST, "/holds/" + hold + "/touch", Map.of(), Constants.STATE_TIMEOUT_MS, noting(then));
+    public void renewLease(long lease, Consumer<Http.Answer> then) {
+        calls.call(Methods.POST, "/holds/" + lease + "/touch", Map.of(), Constants.STATE_TIMEOUT_MS, noting(then));
     }
 
     /** Ends a lease at once. */
-    public void drop(long hold, Consumer<Http.Answer> then) {
-        calls.call(Methods.DELETE, "/holds/" + hold, null, Constants.STATE_TIMEOUT_MS, noting(then));
+    public void dropLease(long lease, Consumer<Http.Answer> then) {
+        calls.call(Methods.DELETE, "/holds/" + lease, null, Constants.STATE_TIMEOUT_MS, noting(then));
     }
 
     /** Opens a watch; an answer proves nothing of being served, as open watches survive outages. */
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -43,7 +43,7 @@
 
     /**
      * What found no room says nothing of jobs under other rules: work without accelerators gets a part of their machines
-     * only, other zones and spilled work have room of their own, and less may still fit.
+     * only, other zones and overflowing work have room of their own, and less may still fit.
      */
     @ParameterizedTest(name = "{0}")
     @CsvSource({"accelerators, 2, 1", "smaller, 1, 0", "other zone, 2, 0", "the same, 2, 0"})
--- a/src/test/java/org/mountlug/core/ElectionTest.java
+++ b/src/test/java/org/mountlug/core/ElectionTest.java
@@ -14,8 +14,8 @@
     private void win(double now, long epoch) {
         assertEquals(Election.Step.LOOK, e.next(now));
         e.looked(now, null, null, 0, 0, 0);
-        assertEquals(Election.Step.OPEN_HOLD, e.next(now));
-        e.holdOpened(now, 5);
+        assertEquals(Election.Step.OPEN_LEASE, e.next(now));
+        e.leaseOpened(now, 5);
         assertEquals(Election.Step.CAMPAIGN, e.next(now));
         e.campaigned(now, true, epoch);
     }
@@ -51,22 +51,22 @@
         e.next(1);
         e.looked(1, null, null, 0, 0, 0);
         e.next(1);
-        e.holdOpened(1, 5);
+        e.leaseOpened(1, 5);
         e.next(1);
         e.failed(2);
         assertFalse(e.leading());
         assertEquals(Election.Step.LOOK, e.next(3));
         e.looked(3, "x", "n1", 5, 42, 0);
         assertFalse(e.leading());
-        assertEquals(Election.Step.DROP_OLD_HOLD, e.next(3));
+        assertEquals(Election.Step.DROP_OLD_LEASE, e.next(3));
     }
 
     @Test
     void anEarlierProcessOfThisNodeIsDead() {
         e.next(1);
         e.looked(1, "x", "n0", 3, 40, 0);
-        assertEquals(Election.Step.DROP_OLD_HOLD, e.next(1));
-        e.oldHoldDropped(1.1);
+        assertEquals(Election.Step.DROP_OLD_LEASE, e.next(1));
+        e.oldLeaseDropped(1.1);
         assertEquals(Election.Step.LOOK, e.next(1.2));
     }
 
@@ -77,9 +77,9 @@
         e.leaderEnded("z");
         assertEquals(Election.Step.NONE, e.next(1.1));
         e.leaderEnded("y");
-        assertEquals(Election.Step.DROP_OLD_HOLD, e.next(1.1));
-        assertEquals(3, e.oldHold());
-        e.oldHoldDropped(1.2);
+        assertEquals(Election.Step.DROP_OLD_LEASE, e.next(1.1));
+        assertEquals(3, e.oldLease());
+        e.oldLeaseDropped(1.2);
         e.leaderEnded("y");
         assertEquals(Election.Step.LOOK, e.next(1.2));
     }
@@ -90,12 +90,12 @@
         win(1, 42);
         e.resign(20);
         assertFalse(e.leading());
-        assertEquals(Election.Step.DROP_OLD_HOLD, e.next(20));
-        e.oldHoldDropped(20.1);
+        assertEquals(Election.Step.DROP_OLD_LEASE, e.next(20));
+        e.oldLeaseDropped(20.1);
         assertEquals(Election.Step.LOOK, e.next(20.1));
         e.looked(20.1, null, null, 0, 0, 0);
         assertEquals(Election.Step.NONE, e.next(29.9));
-        assertEquals(Election.Step.OPEN_HOLD, e.next(30));
+        assertEquals(Election.Step.OPEN_LEASE, e.next(30));
     }
 
     @Test
--- a/src/test/java/org/mountlug/node/ConnectivityTest.java
+++ b/src/test/java/org/mountlug/node/ConnectivityTest.java
@@ -37,12 +37,12 @@
         "nobody, 5, 22",
     })
     void aLeaderThatLacksSomebodyGivesWay(String reaches, int controllers, double leaseS) {
-        World world = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), leaseS);
+        SimulatedCluster world = new SimulatedCluster(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), leaseS);
         world.runS = 100;
         world.accept(id(1), 16, false);
         assertTrue(world.until(60, () -> starts(world) == 16));
         world.run(15);
-        World.Node old = world.leader();
+        SimulatedCluster.Node old = world.leader();
         switch (reaches) {
             case "state service only" -> old.cutFromWorkers = old.cutFromPeers = true;
             case "state service, peers refuse" -> old.cutFromWorkers = world.peersRefuse = true;
@@ -84,12 +84,12 @@
     @ParameterizedTest(name = "{0} controllers, cut {1} s after a report")
     @CsvSource({"3, 0.1", "3, 0.9", "5, 0.4", "7, 0.1", "7, 0.6", "7, 1.2", "7, 1.7"})
     void aShortLeaseOutlivesALeaderWithoutItsWorkers(int controllers, double offsetS) {
-        World world = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 10);
+        SimulatedCluster world = new SimulatedCluster(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 10);
         world.runS = 100;
         world.accept(id(1), 48, false, Map.of("dueS", 110.0));
         assertTrue(world.until(60, () -> starts(world) == 48));
         world.run(15 + offsetS);
-        World.Node old = world.leader();
+        SimulatedCluster.Node old = world.leader();
         old.cutFromWorkers = true;
         world.in(37, () -> old.cutFromWorkers = false);
         world.run(40);
@@ -103,7 +103,7 @@
     @ParameterizedTest(name = "{0}")
     @CsvSource({"peers refuse", "machines cut off", "machines cut off and peers refuse"})
     void aLeaderThatNobodyCanReplaceGoesOn(String what) {
-        World world = new World(3, List.of(new Team("t", 0, 0, 0, 0, 1)), 22);
+        SimulatedCluster world = new SimulatedCluster(3, List.of(new Team("t", 0, 0, 0, 0, 1)), 22);
         world.runS = 60;
         world.accept(id(1), 16, false);
         assertTrue(world.until(60, () -> starts(world) == 16));
@@ -124,10 +124,10 @@
     @ParameterizedTest(name = "leader {0}, state service {1}")
     @CsvSource({"true, REFUSED", "true, SILENT", "false, REFUSED", "false, SILENT"})
     void usersAreAnsweredAtOnceMeanwhile(boolean leader, StateStandIn.Link link) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.accept(id(1), 4, false);
         world.run(10);
-        World.Node node = leader
+        SimulatedCluster.Node node = leader
                 ? world.leader()
                 : world.nodes.stream()
                         .filter(n -> n != world.leader())
@@ -146,7 +146,7 @@
         assertEquals(List.of(), world.broken());
     }
 
-    private static int starts(World world) {
+    private static int starts(SimulatedCluster world) {
         return world.workers.values().stream().mapToInt(worker -> worker.starts).sum();
     }
 }
--- a/src/test/java/org/mountlug/node/FailingJobsTest.java
+++ b/src/test/java/org/mountlug/node/FailingJobsTest.java
@@ -29,13 +29,13 @@
         "2, false, true",
     })
     void failingJobsCondemnNoMachine(int failingJobs, boolean faultyMachine, boolean newLeader) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.capacity = 8;
         world.runS = 5;
         world.accept(id(1), 1200, false);
         assertTrue(world.until(60, () -> world.workers.size() == 8));
         world.run(8);
-        World.Worker bad = world.workers.values().iterator().next();
+        SimulatedCluster.Worker bad = world.workers.values().iterator().next();
         List<String> good = world.workers.keySet().stream()
                 .filter(name -> !name.equals(bad.name))
                 .toList();
@@ -67,7 +67,7 @@
     @ParameterizedTest(name = "gang of {0}")
     @CsvSource({"1", "4"})
     void aFailingJobIsTriedNowAndThen(int tasks) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.capacity = 6;
         world.faulty.add(id(1));
         world.accept(id(1), tasks, tasks > 1, Map.of("vcpus", 4.0));
@@ -86,12 +86,12 @@
     @ParameterizedTest(name = "{0} of 8 machines faulty, gang {1}")
     @CsvSource({"3, false", "5, false", "3, true"})
     void aGoodJobOutlivesFaultyMachines(int faulty, boolean gang) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.capacity = 8;
         world.runS = 5;
         world.accept(id(1), 120, false, Map.of("dueS", 20.0));
         assertTrue(world.until(60, () -> world.status(id(1), 5).equals("done")));
-        List<World.Worker> machines = List.copyOf(world.workers.values());
+        List<SimulatedCluster.Worker> machines = List.copyOf(world.workers.values());
         machines.subList(0, Math.min(faulty, machines.size())).forEach(machine -> machine.sick = true);
         world.accept(id(2), gang ? 4 : 60, gang);
         world.accept(id(3), gang ? 4 : 60, gang);
--- a/src/test/java/org/mountlug/node/GuestTeamsTest.java
+++ b/src/test/java/org/mountlug/node/GuestTeamsTest.java
@@ -20,8 +20,9 @@
         return String.format("wk-%06d", number);
     }
 
-    private static World world() {
-        World world = new World(3, List.of(new Team("t", 24, 40, 0, 0, 1), new Team("guest", 0, 0, 0, 0, 1)), 10);
+    private static SimulatedCluster world() {
+        SimulatedCluster world =
+                new SimulatedCluster(3, List.of(new Team("t", 24, 40, 0, 0, 1), new Team("guest", 0, 0, 0, 0, 1)), 10);
         world.capacity = 10;
         return world;
     }
@@ -30,7 +31,7 @@
     @ParameterizedTest(name = "guest's work: {0}, new leader {1}")
     @CsvSource({"one array, false", "swarm, false", "one array, true", "swarm, true"})
     void aGuaranteeIsKeptBesideAGuest(String kind, boolean newLeader) {
-        World world = world();
+        SimulatedCluster world = world();
         world.runS = 150;
         fill(world, kind);
         assertTrue(world.until(120, () -> world.used("guest") >= 38), "the guest has it all: " + world.used("guest"));
@@ -50,7 +51,7 @@
     @ParameterizedTest(name = "guest's work: {0}")
     @CsvSource({"one array", "swarm"})
     void theGuestIsServedBesideAStreamOfGuaranteedWork(String kind) {
-        World world = world();
+        SimulatedCluster world = world();
         world.runS = 10;
         // Two thirds of the room, all the time.
         for (int i = 0; i < 60; i++) {
@@ -82,7 +83,7 @@
         assertEquals(List.of(), world.broken());
     }
 
-    private static void fill(World world, String kind) {
+    private static void fill(SimulatedCluster world, String kind) {
         Map<String, Object> idle = Map.of("crew", "guest", "urgency", "idle", "dueS", 30.0);
         if (kind.equals("one array")) {
             world.accept(id(1), 400, false, idle);
--- a/src/test/java/org/mountlug/node/Fault.java
+++ b/src/test/java/org/mountlug/node/InjectedFault.java
@@ -6,13 +6,13 @@
 import java.util.SplittableRandom;
 import org.mountlug.core.model.Report;
 
-/** The faults that meet in {@link PairsTest}; each begins at once and ends by itself. */
-enum Fault {
+/** The faults that meet in {@link SeededFaultsTest}; each begins at once and ends by itself. */
+enum InjectedFault {
     /** The leader's process ends and comes back. */
     LEADER_ENDS {
         @Override
         void begin(Scene scene) {
-            World.Node leader = scene.leader();
+            SimulatedCluster.Node leader = scene.leader();
             double backS = scene.backS();
             leader.restartAfter(backS);
         }
@@ -21,11 +21,11 @@
     ALL_END {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             double forS = scene.forS();
             double backS = scene.backS();
-            for (World.Node node : world.nodes) {
+            for (SimulatedCluster.Node node : world.nodes) {
                 node.restartAfter(random.nextBoolean() ? 0.2 + random.nextDouble() : backS + Math.min(forS, 20));
             }
         }
@@ -34,8 +34,8 @@
     LEADER_REFUSED {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            World.Node leader = scene.leader();
+            SimulatedCluster world = scene.world();
+            SimulatedCluster.Node leader = scene.leader();
             double forS = scene.forS();
             link(scene, leader, StateStandIn.Link.REFUSED, forS);
         }
@@ -44,7 +44,7 @@
     OUTAGE {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             double forS = scene.forS();
             world.state.outage = true;
             world.in(forS, world.state::recover);
@@ -54,8 +54,8 @@
     LEADER_SILENT {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            World.Node leader = scene.leader();
+            SimulatedCluster world = scene.world();
+            SimulatedCluster.Node leader = scene.leader();
             double forS = scene.forS();
             link(scene, leader, StateStandIn.Link.SILENT, forS);
             leader.cutFromPeers = true;
@@ -71,7 +71,7 @@
     UNHEARD {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             double forS = scene.forS();
             world.nodes.forEach(node -> link(scene, node, StateStandIn.Link.UNHEARD, Math.min(forS, 9)));
         }
@@ -80,7 +80,7 @@
     LATE {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             double forS = scene.forS();
             world.state.lateS = 2 + random.nextDouble() * 10;
@@ -91,10 +91,10 @@
     CUT {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            List<World.Worker> some = scene.some();
+            SimulatedCluster world = scene.world();
+            List<SimulatedCluster.Worker> some = scene.some();
             double forS = scene.forS();
-            for (World.Worker worker : some) {
+            for (SimulatedCluster.Worker worker : some) {
                 worker.cut = true;
                 world.in(forS, () -> worker.cut = false);
             }
@@ -104,10 +104,10 @@
     HANG {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            List<World.Worker> some = scene.some();
+            SimulatedCluster world = scene.world();
+            List<SimulatedCluster.Worker> some = scene.some();
             double forS = scene.forS();
-            for (World.Worker worker : some) {
+            for (SimulatedCluster.Worker worker : some) {
                 worker.hangsUntil = world.now + Math.min(forS, 25);
             }
         }
@@ -116,10 +116,10 @@
     MUTE {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            List<World.Worker> some = scene.some();
+            SimulatedCluster world = scene.world();
+            List<SimulatedCluster.Worker> some = scene.some();
             double forS = scene.forS();
-            for (World.Worker worker : some) {
+            for (SimulatedCluster.Worker worker : some) {
                 worker.mute = true;
                 world.in(forS, () -> worker.mute = false);
             }
@@ -129,10 +129,10 @@
     DEAF {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            List<World.Worker> some = scene.some();
+            SimulatedCluster world = scene.world();
+            List<SimulatedCluster.Worker> some = scene.some();
             double forS = scene.forS();
-            for (World.Worker worker : some) {
+            for (SimulatedCluster.Worker worker : some) {
                 worker.deaf = true;
                 world.in(forS, () -> worker.deaf = false);
             }
@@ -147,8 +147,8 @@
     DIE {
         @Override
         void begin(Scene scene) {
-            List<World.Worker> some = scene.some();
-            for (World.Worker worker : some.subList(0, some.size() / 3)) {
+            List<SimulatedCluster.Worker> some = scene.some();
+            for (SimulatedCluster.Worker worker : some.subList(0, some.size() / 3)) {
                 worker.die();
             }
         }
@@ -157,7 +157,7 @@
     COMMANDS_LATE {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             double forS = scene.forS();
             world.commandLateS = 0.5 + random.nextDouble() * 8;
@@ -168,7 +168,7 @@
     OLD_REPORTS {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             double forS = scene.forS();
             Runnable come = oldReports(scene);
@@ -179,7 +179,7 @@
     OLD_REPORTS_FOR_NEXT {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             Runnable come = oldReports(scene);
             world.onLead.add(node -> world.in(random.nextInt(3) * 0.4, come));
@@ -189,16 +189,16 @@
     ZONE_CUT {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            World.Node any = scene.any();
+            SimulatedCluster world = scene.world();
+            SimulatedCluster.Node any = scene.any();
             double forS = scene.forS();
             any.inside = true;
-            for (World.Worker worker : world.workers.values()) {
+            for (SimulatedCluster.Worker worker : world.workers.values()) {
                 worker.inside = worker.zone.equals("a") && (world.zones.size() > 1 || worker.name.hashCode() % 2 == 0);
             }
             world.in(forS, () -> {
                 any.inside = false;
-                for (World.Worker worker : world.workers.values()) {
+                for (SimulatedCluster.Worker worker : world.workers.values()) {
                     worker.inside = false;
                 }
             });
@@ -208,7 +208,7 @@
     PEERS_REFUSE {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             double forS = scene.forS();
             world.peersRefuse = true;
             world.in(forS, () -> world.peersRefuse = false);
@@ -218,7 +218,7 @@
     FREEZE {
         @Override
         void begin(Scene scene) {
-            World.Node leader = scene.leader();
+            SimulatedCluster.Node leader = scene.leader();
             double forS = scene.forS();
             leader.freeze(Math.min(forS, 28));
         }
@@ -227,16 +227,16 @@
     CANCEL {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
-            List<World.Worker> some = scene.some();
+            List<SimulatedCluster.Worker> some = scene.some();
             double forS = scene.forS();
             for (String id : world.accepted()) {
                 if (world.outcome(id) == null && random.nextBoolean()) {
                     cancel(world, id, random.nextDouble() * 0.2, random.nextInt(5));
                 }
             }
-            for (World.Worker worker : some) {
+            for (SimulatedCluster.Worker worker : some) {
                 if (random.nextBoolean()) {
                     worker.hangsUntil = world.now + Math.min(forS, world.leaseS - 0.5);
                 }
@@ -247,11 +247,11 @@
     CLOSE_LOOKS {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             double forS = scene.forS();
             for (double t = 0; t < Math.min(forS, 8); t += 0.09) {
-                World.Node node = world.nodes.get(random.nextInt(world.nodes.size()));
+                SimulatedCluster.Node node = world.nodes.get(random.nextInt(world.nodes.size()));
                 int pick = random.nextInt(26) + 1;
                 boolean repeat = random.nextInt(4) == 0;
                 world.in(t, () -> {
@@ -272,7 +272,7 @@
     HAND_BACK {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             for (int i = 0; i < 3; i++) {
                 world.in(i * 5.5 + random.nextDouble(), () -> {
@@ -287,7 +287,7 @@
     CLOUD_DOWN {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             double forS = scene.forS();
             world.cloudDown = true;
             world.in(forS, () -> world.cloudDown = false);
@@ -297,7 +297,7 @@
     SLOW_STATE {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             SplittableRandom random = scene.random();
             double forS = scene.forS();
             world.state.slowS = 0.1 + random.nextDouble() * 0.5;
@@ -308,8 +308,8 @@
     LEADER_WITHOUT_WORKERS {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
-            World.Node leader = scene.leader();
+            SimulatedCluster world = scene.world();
+            SimulatedCluster.Node leader = scene.leader();
             double forS = scene.forS();
             leader.cutFromWorkers = true;
             world.in(forS, () -> leader.cutFromWorkers = false);
@@ -336,7 +336,7 @@
 
         @Override
         void begin(Scene scene) {
-            World.Node any = scene.any();
+            SimulatedCluster.Node any = scene.any();
             any.freeze(lastsS(scene.forS()));
             for (String id : scene.world().accepted()) {
                 any.askThroughSocket("poll", id, x -> any.users.poll(id, x), null);
@@ -350,7 +350,7 @@
     ONLY_STATE {
         @Override
         void begin(Scene scene) {
-            World.Node leader = scene.leader();
+            SimulatedCluster.Node leader = scene.leader();
             leader.cutFromWorkers = true;
             leader.cutFromPeers = true;
             scene.world().in(scene.forS(), () -> {
@@ -363,7 +363,7 @@
     ONLY_PEERS {
         @Override
         void begin(Scene scene) {
-            World.Node leader = scene.leader();
+            SimulatedCluster.Node leader = scene.leader();
             leader.cutFromWorkers = true;
             link(scene, leader, StateStandIn.Link.SILENT, scene.forS());
             scene.world().in(scene.forS(), () -> leader.cutFromWorkers = false);
@@ -389,13 +389,13 @@
     QUESTION_STORM {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             double forS = Math.min(scene.forS(), 12);
             world.state.rps = 200;
             for (double at = 0; at < forS; at += 0.05) {
                 int first = scene.random().nextInt(26);
                 world.in(at, () -> {
-                    for (World.Node node : world.nodes) {
+                    for (SimulatedCluster.Node node : world.nodes) {
                         for (int i = 0; i < 10; i++) {
                             String id = String.format("wk-%06d", 1 + (first + i) % 26);
                             node.askLater("poll", id, x -> node.users.poll(id, x), null);
@@ -410,13 +410,13 @@
     FAILING_JOBS {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             for (int i = 0; i < 3; i++) {
                 String id = String.format("wk-%06d", 100 + world.faulty.size());
                 world.faulty.add(id);
                 boolean gang = i == 2;
                 Map<String, Object> urgent = Map.of("urgency", scene.random().nextBoolean() ? "prod" : "standard");
-                World.Node node = world.nodes.get(scene.random().nextInt(world.nodes.size()));
+                SimulatedCluster.Node node = world.nodes.get(scene.random().nextInt(world.nodes.size()));
                 for (double again = 0; again < 9; again += 3) {
                     world.in(again, () -> {
                         if (!world.accepted().contains(id)) {
@@ -432,9 +432,9 @@
     GUEST_TEAM {
         @Override
         void begin(Scene scene) {
-            World world = scene.world();
+            SimulatedCluster world = scene.world();
             Map<String, Object> idle = Map.of("crew", "guest", "urgency", "idle");
-            World.Node node = scene.any();
+            SimulatedCluster.Node node = scene.any();
             int from = 200
                     + (int) world.accepted().stream()
                             .filter(id -> id.compareTo("wk-000200") >= 0)
@@ -452,17 +452,17 @@
 
     /** Where a fault begins: whom it strikes, for how long, and by which luck. */
     record Scene(
-            World world,
-            World.Node leader,
-            World.Node any,
-            List<World.Worker> some,
+            SimulatedCluster world,
+            SimulatedCluster.Node leader,
+            SimulatedCluster.Node any,
+            List<SimulatedCluster.Worker> some,
             double forS,
             double backS,
             SplittableRandom random) {
-        static Scene of(World world, double forS, SplittableRandom random) {
-            World.Node any = world.nodes.get(random.nextInt(world.nodes.size()));
-            World.Node leader = world.leader() == null ? any : world.leader();
-            List<World.Worker> some = new ArrayList<>(world.workers.values());
+        static Scene of(SimulatedCluster world, double forS, SplittableRandom random) {
+            SimulatedCluster.Node any = world.nodes.get(random.nextInt(world.nodes.size()));
+            SimulatedCluster.Node leader = world.leader() == null ? any : world.leader();
+            List<SimulatedCluster.Worker> some = new ArrayList<>(world.workers.values());
             some.removeIf(worker -> random.nextInt(3) == 0);
             double backS = random.nextBoolean() ? 0.1 + random.nextDouble() * 0.4 : 1 + random.nextDouble() * 8;
             return new Scene(world, leader, any, some, forS, backS, random);
@@ -477,9 +477,9 @@
     }
 
     /** A user cancels the job, asking again and again at different controllers. */
-    static void cancel(World world, String id, double at, int first) {
+    static void cancel(SimulatedCluster world, String id, double at, int first) {
         for (int i = 0; i < 8; i++) {
-            World.Node node = world.nodes.get((first + i) % world.nodes.size());
+            SimulatedCluster.Node node = world.nodes.get((first + i) % world.nodes.size());
             world.in(at + 2 * i, () -> {
                 if (world.accepted().contains(id) && world.outcome(id) == null) {
                     node.askLater("abort", id, x -> node.users.abort(id, x), null);
@@ -488,7 +488,7 @@
         }
     }
 
-    private static void link(Scene scene, World.Node node, StateStandIn.Link link, double forS) {
+    private static void link(Scene scene, SimulatedCluster.Node node, StateStandIn.Link link, double forS) {
         node.link = link;
         scene.world().in(forS, () -> {
             if (node.link == link) {
@@ -498,10 +498,10 @@
     }
 
     private static Runnable oldReports(Scene scene) {
-        World world = scene.world();
+        SimulatedCluster world = scene.world();
         SplittableRandom random = scene.random();
         List<Report> old = new ArrayList<>();
-        for (World.Worker worker : world.workers.values()) {
+        for (SimulatedCluster.Worker worker : world.workers.values()) {
             for (Report node : worker.sent.subList(Math.max(0, worker.sent.size() - 12), worker.sent.size())) {
                 if (random.nextInt(3) > 0) {
                     old.add(node);
@@ -509,7 +509,7 @@
             }
         }
         return () -> {
-            for (World.Node node : world.nodes) {
+            for (SimulatedCluster.Node node : world.nodes) {
                 if (node.up && node.frozenUntil <= world.now) {
                     old.forEach(node.controller::beat);
                 }
--- a/src/test/java/org/mountlug/node/OperatorViewTest.java
+++ b/src/test/java/org/mountlug/node/OperatorViewTest.java
@@ -61,13 +61,13 @@
         "outage beside a silent peer, mountlug_reports_unanswered_total",
     })
     void eachTroubleShowsInItsMeter(String trouble, String meter) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.runS = 15;
         world.capacity = 8;
         world.accept(id(1), 400, false);
         assertTrue(world.until(60, () -> world.workers.size() == 8 && world.runs(id(1))));
         world.run(6);
-        World.Node leader = world.leader();
+        SimulatedCluster.Node leader = world.leader();
         double quiet = value(leader, meter);
         switch (trouble) {
             case "failing job" -> {
@@ -91,7 +91,7 @@
         assertTrue(world.until(40, () -> value(leader, meter) > quiet), "from " + quiet);
     }
 
-    private static double value(World.Node node, String meter) {
+    private static double value(SimulatedCluster.Node node, String meter) {
         for (String line : node.controller.metrics().scrape().split("\n")) {
             if (line.startsWith(meter + " ")) {
                 return Double.parseDouble(line.substring(meter.length() + 1));
--- a/src/test/java/org/mountlug/node/MeetingsTest.java
+++ b/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
@@ -20,36 +20,36 @@
  * that no answer is older than one sent before, and after the last fault that everything accepted goes on; a case also
  * asserts that its meeting took place.
  */
-class MeetingsTest {
+class OverlappingFaultsTest {
     private static String id(int n) {
         return String.format("wk-%06d", n);
     }
 
-    private static World.Node other(World w, World.Node not) {
+    private static SimulatedCluster.Node other(SimulatedCluster w, SimulatedCluster.Node not) {
         return w.nodes.stream()
                 .filter(n -> n != not && n.up && n.frozenUntil <= w.now)
                 .findFirst()
                 .orElseThrow();
     }
 
-    private static boolean allStarted(World w, int tasks) {
+    private static boolean allStarted(SimulatedCluster w, int tasks) {
         return w.until(
                 90, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= tasks);
     }
 
-    private static void end(World w, double mostS) {
+    private static void end(SimulatedCluster w, double mostS) {
         w.settle(mostS);
         assertEquals(List.of(), w.broken());
     }
 
-    private static long on(World w, String id) {
+    private static long on(SimulatedCluster w, String id) {
         return w.workers.values().stream()
                 .flatMap(k -> k.held().stream())
                 .filter(t -> t.job.equals(id))
                 .count();
     }
 
-    private static void submit(World w, int n, String shape, int tasks) {
+    private static void submit(SimulatedCluster w, int n, String shape, int tasks) {
         w.accept(id(n), tasks, shape.equals("gang"), shape.equals("service") ? Map.of("shape", "daemon") : Map.of());
     }
 
@@ -73,14 +73,14 @@
         "array, third node, 0.8, 0.2"
     })
     void whatIsToldWhileTheLeaderIsRefusedHoldsThroughAnOutage(String shape, String by, double afterS, double outageS) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 200;
         submit(w, 1, shape, 8);
         assertTrue(allStarted(w, 8));
         w.run(4);
-        World.Node old = w.leader();
-        World.Node first = other(w, old);
-        World.Node second =
+        SimulatedCluster.Node old = w.leader();
+        SimulatedCluster.Node first = other(w, old);
+        SimulatedCluster.Node second =
                 w.nodes.stream().filter(n -> n != old && n != first).findFirst().orElseThrow();
         old.link = StateStandIn.Link.REFUSED;
         w.run(afterS);
@@ -93,7 +93,7 @@
             w.run(0.02);
             assertEquals(1, w.state.unheard);
             first.link = StateStandIn.Link.GOOD;
-            World.Node teller = by.equals("third node") ? second : first;
+            SimulatedCluster.Node teller = by.equals("third node") ? second : first;
             Map<String, Object> a =
                     switch (by) {
                         case "poll", "third node" -> teller.poll(id(1));
@@ -110,7 +110,7 @@
         w.run(outageS);
         w.state.outage = true;
         long token = old.token();
-        w.run(World.CANCEL_S + 1);
+        w.run(SimulatedCluster.CANCEL_S + 1);
         assertTrue(old.controller.leads() && old.token() == token, "nobody else could be elected");
         assertEquals(0, on(w, id(1)), "gone in time");
         w.run(25);
@@ -130,7 +130,7 @@
                 "told of 600 jobs"
             })
     void knowledgeOfCancellationsStopsWithTheWordOfWhoTold(String what) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.capacity = 150;
         w.runS = 200;
         w.accept(id(1), 8, false);
@@ -140,8 +140,8 @@
         }
         assertTrue(allStarted(w, 8 + many));
         w.run(4);
-        World.Node old = w.leader();
-        World.Node teller = other(w, old);
+        SimulatedCluster.Node old = w.leader();
+        SimulatedCluster.Node teller = other(w, old);
         old.link = StateStandIn.Link.REFUSED;
         w.run(0.3);
         if (!what.startsWith("is back in 0.2 s and")) {
@@ -163,7 +163,7 @@
             teller.restartAfter(0.2);
         }
         w.state.outage = true;
-        w.run(World.CANCEL_S + 1);
+        w.run(SimulatedCluster.CANCEL_S + 1);
         assertEquals(0, on(w, id(1)), "gone in time");
         w.run(20);
         teller.cutFromPeers = false;
@@ -194,7 +194,7 @@
         "0.014, -2, 60, stands still"
     })
     void aNoticeThatComesWhileALeaderLoadsIsNotLost(double intoS, double cancelS, double forS, String last) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 300;
         w.accept(id(1), 8, false);
         for (int i = 2; i < 9; i++) {
@@ -202,7 +202,7 @@
         }
         assertTrue(allStarted(w, 15));
         w.run(4);
-        World.Node before = w.leader();
+        SimulatedCluster.Node before = w.leader();
         boolean[] began = new boolean[1];
         w.onLead.add(n -> {
             if (n == before || began[0]) {
@@ -220,9 +220,9 @@
             assertEquals("withdrawn", other(w, before).abort(id(1)).get("status"));
         }
         assertTrue(w.until(20, () -> began[0]));
-        World.Node now = w.leader();
+        SimulatedCluster.Node now = w.leader();
         w.run(Math.max(0, cancelS));
-        World.Node teller = other(w, now);
+        SimulatedCluster.Node teller = other(w, now);
         if (cancelS >= 0) {
             assertEquals("withdrawn", teller.abort(id(1)).get("status"));
         }
@@ -243,18 +243,18 @@
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"array", "gang", "service"})
     void stopsOfCancelledJobsLeaveAtOnceThoughNoWriteCan(String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 200;
         submit(w, 1, shape, 8);
         assertTrue(allStarted(w, 8));
         w.run(4);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         old.link = StateStandIn.Link.REFUSED;
         old.cutFromPeers = true;
         w.run(2.2);
         assertEquals("withdrawn", other(w, old).abort(id(1)).get("status"));
         w.state.outage = true;
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.mute = true;
         }
         w.run(3); // by now the leader cannot prove that it leads
@@ -262,7 +262,7 @@
         w.run(2.5);
         assertTrue(old.controller.leads());
         assertEquals(0, on(w, id(1)), "stopped straight, well before their leases run out");
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.mute = false;
         }
         w.state.recover();
@@ -292,13 +292,13 @@
         "ended, refused"
     })
     void noNodeAnswersAnythingOlder(String after, String with) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 3;
         w.accept(id(99), 4, false);
         w.run(10);
         int[] looks = new int[1];
         boolean[] on = {true};
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.link = with.equals("lost answers")
                     ? StateStandIn.Link.UNHEARD
                     : with.equals("late writes") ? StateStandIn.Link.LATE : StateStandIn.Link.GOOD;
@@ -314,7 +314,7 @@
                     if (!on[0]) {
                         return;
                     }
-                    World.Node n = w.nodes.get(turn % 3);
+                    SimulatedCluster.Node n = w.nodes.get(turn % 3);
                     if (turn % 7 == 3) {
                         n.repeat(id);
                     } else {
@@ -325,7 +325,7 @@
             }
             if (cancel) {
                 w.in(k * 1.7 + (after.equals("cancelled") ? 0.01 + k * 0.4 : 4.4), () -> {
-                    for (World.Node n : w.nodes) {
+                    for (SimulatedCluster.Node n : w.nodes) {
                         n.askLater("abort", id, r -> n.users.abort(id, r), null);
                     }
                 });
@@ -338,7 +338,7 @@
         }
         if (with.equals("refused")) {
             w.in(4, () -> {
-                World.Node l = w.leader();
+                SimulatedCluster.Node l = w.leader();
                 l.link = StateStandIn.Link.REFUSED;
                 w.in(7, () -> l.link = StateStandIn.Link.GOOD);
             });
@@ -351,7 +351,7 @@
         if (with.equals("late writes")) {
             assertTrue(w.state.lateSucceeded > 2, "late ones were carried out");
         }
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.link = StateStandIn.Link.GOOD;
         }
         assertTrue(looks[0] > 2500);
@@ -375,12 +375,12 @@
         "0.02, 0.1"
     })
     void aLeaderThatWasRefusedAmidItsLastWriteTellsTheOutcomeOfAnother(double beforeS, double backS) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 6;
         w.accept(id(1), 1, false);
         assertTrue(allStarted(w, 1));
-        World.Node old = w.leader();
-        World.Node teller = other(w, old);
+        SimulatedCluster.Node old = w.leader();
+        SimulatedCluster.Node teller = other(w, old);
         boolean[] met = new boolean[1];
         // The moment of the write that ends the job: the abort is there first, and from then on the leader is refused.
         w.state.onMulti = (from, body) -> {
@@ -407,7 +407,7 @@
         old.link = StateStandIn.Link.GOOD;
         for (int i = 0; i < 40; i++) {
             w.run(0.05);
-            for (World.Node n : w.nodes) {
+            for (SimulatedCluster.Node n : w.nodes) {
                 n.askLater("poll", id(1), r -> n.users.poll(id(1), r), null);
             }
         }
@@ -430,7 +430,7 @@
         "LATE, 12, 99, 2"
     })
     void writesThatAreCarriedOutUnheardOrLate(StateStandIn.Link link, double lateS, double endsS, int tasks) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.state.lateS = lateS;
         w.runS = 6;
         w.accept(id(90), 4, false);
@@ -441,13 +441,13 @@
         w.run(1.5);
         // Of a job of three, tasks end seconds apart: each on a machine of another speed.
         double[] slow = {1};
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.slow = slow[0] += 0.6;
         }
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.link = link;
         }
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         long token = old.token();
         if (endsS < 90) {
             w.in(endsS, () -> old.restartAfter(1.5));
@@ -458,7 +458,7 @@
                         .get(1)
                         .askLater("abort", id(4), r -> w.nodes.get(1).users.abort(id(4), r), null));
         w.run(9);
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.link = StateStandIn.Link.GOOD;
         }
         w.run(lateS);
@@ -473,13 +473,13 @@
     @ParameterizedTest(name = "{0} s into the next term")
     @ValueSource(doubles = {0.02, 1, 8})
     void aWriteOfADeposedLeaderIsCarriedOutUnderTheNext(double intoS) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.capacity = 3;
         w.runS = 40;
         w.accept(id(1), 8, false, Map.of("dueS", 15.0));
         assertTrue(w.until(60, () -> on(w, id(1)) == 8));
         w.run(3);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         w.state.onMulti = (from, body) -> {
             if (from == old && body.toString().contains("put=j/" + id(2))) {
                 old.link = StateStandIn.Link.SILENT;
@@ -489,7 +489,7 @@
         assertTrue(w.until(20, () -> old.link == StateStandIn.Link.SILENT), "it placed the job");
         w.state.onMulti = null;
         old.cutFromPeers = true;
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.cut = true; // so that the next leader has not written the job yet
         }
         assertTrue(w.until(12, () -> w.leader() != old && w.leader() != null));
@@ -502,7 +502,7 @@
         assertEquals(before, w.state.value("j/" + id(2)));
         w.run(2);
         assertEquals(token, w.leader().token(), "nobody takes it for a newer leader's");
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.cut = false;
         }
         old.link = StateStandIn.Link.GOOD;
@@ -513,7 +513,7 @@
     /** A write of reservations that is carried out after newer ones of the same term must not come back. */
     @Test
     void reservationsWrittenLateDoNotReplaceNewerOnes() {
-        World w = new World(1);
+        SimulatedCluster w = new SimulatedCluster(1);
         w.capacity = 3;
         w.runS = 20;
         w.accept(id(1), 12, false);
@@ -527,7 +527,7 @@
         };
         w.accept(id(2), 12, true);
         // What makes room for it takes a while to be gone, and the room is held meanwhile.
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.hangsUntil = w.now + 6;
         }
         w.nodes.get(0).abort(id(1));
@@ -560,7 +560,7 @@
     })
     void machinesUpAtOnceWhileWritesLagAndTheLeaderEnds(
             double bootS, double lateS, double fromS, double endsS, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.listLagS = 20;
         w.bootS = bootS;
         w.state.lateS = lateS;
@@ -569,7 +569,7 @@
         submit(w, 1, shape, 8);
         submit(w, 2, "array", 6);
         assertTrue(w.until(10, () -> !w.workers.isEmpty()), "rented");
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         w.in(fromS, () -> old.link = StateStandIn.Link.LATE);
         if (endsS < 90) {
             w.in(endsS, () -> old.restartAfter(0.3));
@@ -595,7 +595,7 @@
         "0, 40, true, service"
     })
     void oldReportsMeetANewLeader(double afterS, int last, boolean sessionEnded, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 9;
         submit(w, 1, shape, 8);
         submit(w, 2, "array", 8);
@@ -603,12 +603,12 @@
         w.run(6);
         int[] copies = new int[1];
         List<Report> kept = new ArrayList<>();
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             kept.addAll(k.sent.subList(Math.max(0, k.sent.size() - last), k.sent.size()));
         }
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         w.onLead.add(n -> w.in(afterS, () -> {
-            for (World.Node x : w.nodes) {
+            for (SimulatedCluster.Node x : w.nodes) {
                 for (Report r : kept) {
                     if (x.up) {
                         x.controller.beat(r);
@@ -618,7 +618,7 @@
             }
         }));
         if (sessionEnded) {
-            for (World.Worker k : new ArrayList<>(w.workers.values())) {
+            for (SimulatedCluster.Worker k : new ArrayList<>(w.workers.values())) {
                 k.cut = true;
                 w.in(11, () -> k.cut = false);
             }
@@ -637,12 +637,12 @@
     @ParameterizedTest(name = "held up {0} s, {1}")
     @CsvSource({"1, array", "3, array", "3.5, gang", "2, gang"})
     void aReportOvertakenByTheAnswerToOrdersRenewsTheLease(double heldS, String shape) {
-        World w = new World(1, List.of(new Team("t", 0, 0, 0, 0, 1)), 10);
+        SimulatedCluster w = new SimulatedCluster(1, List.of(new Team("t", 0, 0, 0, 0, 1)), 10);
         w.runS = 60;
         w.capacity = 1;
         w.accept(id(9), 1, false);
         assertTrue(allStarted(w, 1));
-        World.Worker k = w.workers.values().iterator().next();
+        SimulatedCluster.Worker k = w.workers.values().iterator().next();
         w.run(4.1);
         // From here on its reports are held up on their way, and orders straight to it are not.
         k.reportLateS = heldS;
@@ -684,7 +684,8 @@
         "cut, 8, 5, gang"
     })
     void aTeamAtItsLimitWhileCancelledTasksCannotBeAsked(String how, double forS, double endsS, String shape) {
-        World w = new World(3, List.of(new Team("t", 0, 24, 0, 0, 1), new Team("u", 0, 12, 0, 0, 1)));
+        SimulatedCluster w =
+                new SimulatedCluster(3, List.of(new Team("t", 0, 24, 0, 0, 1), new Team("u", 0, 12, 0, 0, 1)));
         w.runS = 150;
         for (int i = 1; i <= 3; i++) {
             submit(w, i, shape, 8);
@@ -700,12 +701,12 @@
             w.accept(id(i), 4, false, Map.of("crew", "u"));
         }
         w.run(3);
-        List<World.Worker> lost = new ArrayList<>(w.workers.values()).subList(0, w.workers.size() / 2 + 1);
-        World.Node old = w.leader();
+        List<SimulatedCluster.Worker> lost = new ArrayList<>(w.workers.values()).subList(0, w.workers.size() / 2 + 1);
+        SimulatedCluster.Node old = w.leader();
         if (endsS < 0) {
             old.restartAfter(1);
         }
-        for (World.Worker k : lost) {
+        for (SimulatedCluster.Worker k : lost) {
             k.cut = how.equals("cut");
             k.mute = how.equals("mute");
             k.deaf = how.equals("deaf");
@@ -716,7 +717,8 @@
         }
         w.run(0.2);
         assertTrue(w.used("t") >= 24 - 1e-6, "still at its limit");
-        World.Node teller = w.nodes.stream().filter(n -> n != old).findFirst().orElseThrow();
+        SimulatedCluster.Node teller =
+                w.nodes.stream().filter(n -> n != old).findFirst().orElseThrow();
         for (int i : new int[] {1, 2, 11}) {
             teller.abort(id(i));
         }
@@ -748,7 +750,7 @@
         "4, gang"
     })
     void cancellationsAmidAHandOver(double atS, String shape) {
-        World w = new World(5);
+        SimulatedCluster w = new SimulatedCluster(5);
         w.runS = 120;
         for (int i = 1; i <= 4; i++) {
             submit(w, i, shape, 4);
@@ -760,7 +762,7 @@
             String id = id(i);
             double at = 1 + atS + i * 0.13;
             for (int n = 0; n < 5; n++) {
-                World.Node node = w.nodes.get(n);
+                SimulatedCluster.Node node = w.nodes.get(n);
                 w.in(at + n * 0.4, () -> node.askLater("abort", id, r -> node.users.abort(id, r), m -> told[0]++));
             }
         }
@@ -771,11 +773,11 @@
             }
         });
         w.in(9, () -> {
-            for (World.Node n : w.nodes) {
+            for (SimulatedCluster.Node n : w.nodes) {
                 n.restartAfter(0.2 + 0.3 * w.nodes.indexOf(n)); // all end, and one is back first
             }
         });
-        w.run(World.CANCEL_S + 14);
+        w.run(SimulatedCluster.CANCEL_S + 14);
         assertTrue(told[0] >= 3);
         for (int i = 1; i <= 3; i++) {
             assertEquals(0, on(w, id(i)));
@@ -787,14 +789,14 @@
     /** One-task jobs four a second, a quarter of them cancelled, many submitted again once over, while leaders change. */
     @Test
     void aSwarmOfOneTaskJobsAQuarterCancelled() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 2;
         w.state.rps = 200;
         w.state.writeRps = 25;
         for (int i = 0; i < 240; i++) {
             int n = i;
             w.in(2 + i * 0.25, () -> {
-                World.Node a = w.nodes.get(n % 3);
+                SimulatedCluster.Node a = w.nodes.get(n % 3);
                 if (a.up) {
                     a.sendFresh(id(n), 1);
                 }
@@ -807,7 +809,7 @@
                 }
                 if (n % 4 == 1) {
                     w.in(0.05 + n % 13 * 0.3, () -> {
-                        World.Node b = w.nodes.get((n + 1) % 3);
+                        SimulatedCluster.Node b = w.nodes.get((n + 1) % 3);
                         b.askLater("abort", id(n), r -> b.users.abort(id(n), r), null);
                     });
                 }
@@ -848,7 +850,7 @@
         "0.005, ends"
     })
     void nothingStartsOnceTheLeaderCanHaveHeardOfACancellation(double afterS, String leader) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 30;
         w.accept(id(90), 24, false, Map.of("dueS", 20.0));
         assertTrue(w.until(60, () -> on(w, id(90)) == 24));
@@ -856,8 +858,8 @@
         w.run(4);
         w.latestStartS = -1;
         int[] met = new int[1];
-        World.Node old = w.leader();
-        World.Node teller = other(w, old);
+        SimulatedCluster.Node old = w.leader();
+        SimulatedCluster.Node teller = other(w, old);
         for (int i = 1; i <= 4; i++) {
             String id = id(i);
             w.in(0.35 * i, () -> teller.sendFresh(id, 5));
@@ -895,7 +897,7 @@
     @ParameterizedTest(name = "outage {0}, {1}")
     @CsvSource({"false, array", "true, array", "true, gang", "false, service"})
     void tenLeadersInTwoMinutes(boolean outage, String shape) {
-        World w = new World(5);
+        SimulatedCluster w = new SimulatedCluster(5);
         w.runS = 150;
         for (int i = 1; i <= 6; i++) {
             submit(w, i, shape, 4);
@@ -914,7 +916,7 @@
             String id = id(i);
             for (int q = 0; q < 20; q++) {
                 w.in(20 * i + q, () -> {
-                    World.Node n = w.nodes.get(2);
+                    SimulatedCluster.Node n = w.nodes.get(2);
                     if (!w.cancelledAt.containsKey(id)) {
                         n.askLater("abort", id, r -> n.users.abort(id, r), null);
                     }
@@ -945,7 +947,7 @@
         "false, 9, 1, service"
     })
     void aZoneWithAControllerIsCutOff(boolean leaderInside, double forS, double cancelS, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.zones = List.of("a", "b");
         w.runS = 100;
         for (int i = 1; i <= 4; i++) {
@@ -955,13 +957,13 @@
         w.accept(id(6), 6, false, Map.of("site", "b", "oneZone", true));
         assertTrue(allStarted(w, 28));
         w.run(3);
-        World.Node in = leaderInside ? w.leader() : other(w, w.leader());
+        SimulatedCluster.Node in = leaderInside ? w.leader() : other(w, w.leader());
         in.inside = true;
         assertTrue(w.workers.values().stream().anyMatch(k -> k.zone.equals("a")));
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.inside = k.zone.equals("a");
         }
-        World.Node outside = other(w, in);
+        SimulatedCluster.Node outside = other(w, in);
         w.run(cancelS);
         for (int i : new int[] {1, 5}) {
             w.until(
@@ -971,10 +973,10 @@
         }
         w.run(forS);
         in.inside = false;
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.inside = false;
         }
-        w.run(World.CANCEL_S);
+        w.run(SimulatedCluster.CANCEL_S);
         w.runS = 5;
         for (int i : new int[] {2, 3, 4}) {
             if (shape.equals("service")) {
@@ -998,7 +1000,7 @@
         "array, one zone, hang, false, true"
     })
     void jobsBoundToOneZoneLoseMachines(String shape, String by, String how, boolean ends, boolean full) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.zones = List.of("a", "b");
         w.runS = 80;
         Map<String, Object> more = new HashMap<>(by.equals("site") ? Map.of("site", "a") : Map.of("oneZone", true));
@@ -1017,7 +1019,7 @@
             }
         }
         int i = 0;
-        for (World.Worker k : new ArrayList<>(w.workers.values())) {
+        for (SimulatedCluster.Worker k : new ArrayList<>(w.workers.values())) {
             if (i++ % 3 == 0) {
                 continue;
             }
@@ -1051,7 +1053,7 @@
     @ParameterizedTest(name = "{0}, the leader ends {1}")
     @CsvSource({"array, false", "array, true", "service, false", "service, true"})
     void whatIsBoundToAZoneDoesNotGoWhereThereIsRoom(String shape, boolean ends) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.zones = List.of("a", "b");
         w.runS = 120;
         Map<String, Object> more = new HashMap<>(Map.of("oneZone", true));
@@ -1070,11 +1072,11 @@
         w.worker(elsewhere);
         w.worker(elsewhere);
         w.run(6);
-        List<World.Worker> there = w.workers.values().stream()
+        List<SimulatedCluster.Worker> there = w.workers.values().stream()
                 .filter(k -> k.zone.equals(zone))
                 .sorted(java.util.Comparator.comparingInt(k -> k.held().size()))
                 .toList();
-        for (World.Worker k : there.subList(0, there.size() - 1)) {
+        for (SimulatedCluster.Worker k : there.subList(0, there.size() - 1)) {
             k.die();
         }
         if (ends) {
@@ -1092,7 +1094,7 @@
         end(w, 200);
     }
 
-    /** Workers that reach nobody while orders straight to them arrive, and the leader changes or jobs are cancelled. */
+    /** Workers that reach nobody while orders directly to them arrive, and the leader changes or jobs are cancelled. */
     @ParameterizedTest(name = "for {0} s, the leader ends {1}, cancelled {2}, {3}")
     @CsvSource({
         "6, false, true, array",
@@ -1103,14 +1105,14 @@
         "8, true, true, service"
     })
     void workersThatReachNobodyButHearOrders(double forS, boolean ends, boolean cancelled, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 60;
         submit(w, 1, shape, 8);
         submit(w, 2, shape, 4);
         assertTrue(allStarted(w, 12));
         w.run(2);
-        List<World.Worker> mute = new ArrayList<>(w.workers.values());
-        for (World.Worker k : mute) {
+        List<SimulatedCluster.Worker> mute = new ArrayList<>(w.workers.values());
+        for (SimulatedCluster.Worker k : mute) {
             k.mute = true;
             w.in(forS, () -> k.mute = false);
         }
@@ -1121,7 +1123,7 @@
         if (ends) {
             w.leader().restartAfter(0.3);
         }
-        submit(w, 3, shape, 4); // starts may go straight to them
+        submit(w, 3, shape, 4); // starts may go directly to them
         w.run(forS + 10);
         if (shape.equals("service")) {
             for (int i = 1; i <= 3; i++) {
@@ -1144,7 +1146,7 @@
         "20, 9, 3, true, array"
     })
     void ordersHeldUpWhileTheMachineHangs(double lateS, double hungS, double cancelS, boolean ends, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 40;
         w.accept(id(9), 8, false);
         assertTrue(allStarted(w, 8));
@@ -1153,7 +1155,7 @@
         submit(w, 1, shape, 6);
         submit(w, 2, shape, 4);
         w.run(1.2);
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.hangsUntil = w.now + hungS;
         }
         w.run(cancelS);
@@ -1164,7 +1166,7 @@
         if (ends) {
             w.leader().restartAfter(0.2);
         }
-        w.run(World.CANCEL_S + 2);
+        w.run(SimulatedCluster.CANCEL_S + 2);
         assertEquals(0, on(w, id(1)));
         w.commandLateS = 0;
         w.runS = 5;
@@ -1178,7 +1180,7 @@
     @ParameterizedTest(name = "for {0} s, cancelled before {1}, {2}")
     @CsvSource({"12, true, array", "12, false, gang", "25, true, gang", "25, false, array", "12, true, service"})
     void allControllersAwayForLongerThanALease(double forS, boolean before, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 100;
         for (int i = 1; i <= 3; i++) {
             submit(w, i, shape, 4);
@@ -1188,7 +1190,7 @@
         if (before) {
             assertEquals("withdrawn", w.nodes.get(1).abort(id(1)).get("status"));
         }
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.restartAfter(forS);
         }
         w.run(forS + 0.1);
@@ -1198,7 +1200,7 @@
                     () -> "withdrawn"
                             .equals(String.valueOf(w.nodes.get(1).abort(id(1)).get("status")))));
         }
-        w.run(World.CANCEL_S + 1);
+        w.run(SimulatedCluster.CANCEL_S + 1);
         assertEquals(0, on(w, id(1)));
         w.runS = 5;
         end(w, 200);
@@ -1219,7 +1221,7 @@
         "gang, 0.9"
     })
     void aCancellationMeetsTheEndOfTheLastTask(String shape, double afterS) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 6;
         for (int i = 1; i <= 8; i++) {
             submit(w, i, shape, 2);
@@ -1241,7 +1243,7 @@
                     }
                     met[i] = true;
                     w.in(Math.max(0, afterS), () -> {
-                        for (World.Node n : w.nodes) {
+                        for (SimulatedCluster.Node n : w.nodes) {
                             n.askLater("abort", id, r -> n.users.abort(id, r), null);
                             n.askLater("poll", id, r -> n.users.poll(id, r), null);
                             n.repeat(id);
@@ -1261,7 +1263,8 @@
     @ParameterizedTest(name = "links {0} s slow, the leader ends {1}")
     @CsvSource({"0.3, false", "0.8, true", "1.2, false"})
     void moreWorkThanRoomOverSlowLinks(double slowS, boolean ends) {
-        World w = new World(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 8, 0, 0, 0, 1)));
+        SimulatedCluster w =
+                new SimulatedCluster(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 8, 0, 0, 0, 1)));
         w.capacity = 4;
         w.runS = 45;
         w.commandLateS = slowS;
@@ -1298,14 +1301,14 @@
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"new leader", "leader refused", "outage", "lost answers", "late writes"})
     void oddRequestsAmidFaults(String fault) {
-        World w = new World(3, List.of(new Team("t", 0, 40, 0, 0, 1)));
+        SimulatedCluster w = new SimulatedCluster(3, List.of(new Team("t", 0, 40, 0, 0, 1)));
         w.runS = 3;
         w.accept(id(1), 3, false);
         assertTrue(w.until(60, () -> "done".equals(w.status(id(1), 5))));
         w.runS = 60;
         w.accept(id(2), 3, false);
         w.run(2);
-        World.Node l = w.leader();
+        SimulatedCluster.Node l = w.leader();
         switch (fault) {
             case "new leader" -> l.restartAfter(0.3);
             case "leader refused" -> l.link = StateStandIn.Link.REFUSED;
@@ -1314,7 +1317,7 @@
             default -> w.nodes.forEach(n -> n.link = StateStandIn.Link.LATE);
         }
         for (int round = 0; round < 5; round++) {
-            for (World.Node n : w.nodes) {
+            for (SimulatedCluster.Node n : w.nodes) {
                 Map<String, Object> missing = new HashMap<>();
                 missing.put("urgency", null);
                 among(n.submit(id(10), 3, false, missing), 400, 503);
@@ -1332,7 +1335,7 @@
             }
             w.run(0.7);
         }
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.link = StateStandIn.Link.GOOD;
         }
         w.state.recover();
@@ -1361,21 +1364,21 @@
     @ParameterizedTest(name = "{0}, {1} s late")
     @CsvSource({"UNHEARD, 0", "LATE, 1", "LATE, 3", "LATE, 12"})
     void anElectionWhoseAnswerIsLost(StateStandIn.Link link, double lateS) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 30;
         w.state.lateS = lateS;
         w.accept(id(1), 8, false);
         assertTrue(allStarted(w, 8));
         w.run(3);
-        World.Node old = w.leader();
-        for (World.Node n : w.nodes) {
+        SimulatedCluster.Node old = w.leader();
+        for (SimulatedCluster.Node n : w.nodes) {
             if (n != old) {
                 n.link = link;
             }
         }
         old.restartAfter(9);
         w.run(8.5);
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.link = StateStandIn.Link.GOOD;
         }
         assertTrue(w.until(9, () -> w.leader() != null), "the key does not stay with somebody who does not know");
@@ -1396,13 +1399,13 @@
         "6, 0.5, true, array"
     })
     void cancelledTasksOnMachinesThatHangWithinTheirLease(double forS, double beforeS, boolean ends, String shape) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 200;
         submit(w, 1, shape, 8);
         submit(w, 2, shape, 4);
         assertTrue(allStarted(w, 12));
         w.run(3);
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.hangsUntil = w.now + forS;
         }
         w.run(beforeS);
@@ -1413,13 +1416,13 @@
         w.run(forS - beforeS + 0.1);
         // And once more as soon as they are back, each within its lease.
         w.run(0.4);
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.hangsUntil = w.now + forS;
         }
         if (ends && w.leader() != null) {
             w.leader().restartAfter(0.2);
         }
-        w.run(World.CANCEL_S + 1);
+        w.run(SimulatedCluster.CANCEL_S + 1);
         assertEquals(0, on(w, id(1)));
         w.runS = 5;
         if (shape.equals("service")) {
--- a/src/test/java/org/mountlug/node/PausedControllerTest.java
+++ b/src/test/java/org/mountlug/node/PausedControllerTest.java
@@ -25,12 +25,12 @@
     @ParameterizedTest(name = "leader {0}, for {1} s")
     @CsvSource({"true, 8", "true, 65", "true, 130", "false, 8", "false, 65", "false, 130"})
     void staleRequestsAreShedOnReturn(boolean leader, double pauseS) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.runS = 3;
         world.accept(id(1), 4, false);
         world.accept(id(2), 40, false);
         assertTrue(world.until(60, () -> world.runs(id(2))));
-        World.Node paused = leader
+        SimulatedCluster.Node paused = leader
                 ? world.leader()
                 : world.nodes.stream()
                         .filter(n -> n != world.leader())
@@ -81,12 +81,12 @@
         "/hosts, 65, false",
     })
     void aLeaderPausedForAMinuteDoesNoHarm(String at, double pauseS, boolean cancelled) {
-        World world = new World(3);
+        SimulatedCluster world = new SimulatedCluster(3);
         world.runS = 40;
         world.accept(id(1), 12, false);
         world.accept(id(2), 4, true);
         assertTrue(world.until(60, () -> world.runs(id(1))));
-        World.Node old = world.leader();
+        SimulatedCluster.Node old = world.leader();
         long token = old.token();
         if (at.equals("any time")) {
             old.freeze(pauseS);
@@ -94,7 +94,7 @@
             old.freezeAt = at;
             old.freezeForS = pauseS;
         }
-        World.Node other =
+        SimulatedCluster.Node other =
                 world.nodes.stream().filter(n -> n != old).findFirst().orElseThrow();
         other.submit(id(3), 30, false);
         other.submit(id(4), 4, true);
--- a/src/test/java/org/mountlug/node/QuestionStormTest.java
+++ b/src/test/java/org/mountlug/node/QuestionStormTest.java
@@ -31,7 +31,7 @@
         "7, 300, all jobs, true",
     })
     void workGoesOnInAStorm(int controllers, int pollsPerS, String asked, boolean newLeader) {
-        World world = new World(controllers);
+        SimulatedCluster world = new SimulatedCluster(controllers);
         world.state.rps = 200;
         world.state.writeRps = 25;
         world.runS = 6;
@@ -51,7 +51,7 @@
         List<Double> slow = new ArrayList<>();
         for (double at = 0; at < 30; at += 0.05) {
             world.in(at, () -> {
-                for (World.Node node : world.nodes) {
+                for (SimulatedCluster.Node node : world.nodes) {
                     for (int k = 0; k < pollsPerS / 20; k++) {
                         String job =
                                 switch (asked) {
@@ -77,14 +77,14 @@
         List<Object> submissions = new ArrayList<>();
         List<Object> cancellations = new ArrayList<>();
         for (int i = 0; i < 25; i++) {
-            World.Node node = world.nodes.get(i % controllers);
+            SimulatedCluster.Node node = world.nodes.get(i % controllers);
             String job = id(101 + i);
             world.in(2 + i, () -> {
                 byte[] body = world.submission(job, 2);
                 node.askLater("submission", job, r -> node.users.submit(body, r), a -> submissions.add(a.get("code")));
             });
             if (i % 5 == 0) {
-                World.Node other = world.nodes.get((i + 1) % controllers);
+                SimulatedCluster.Node other = world.nodes.get((i + 1) % controllers);
                 world.in(
                         3 + i,
                         () -> other.askLater(
@@ -120,7 +120,7 @@
     @ParameterizedTest(name = "seed {0}")
     @CsvSource({"1", "2", "3", "4"})
     void noAnswerGoesBackwards(int seed) {
-        World world = new World(5);
+        SimulatedCluster world = new SimulatedCluster(5);
         world.state.rps = 200;
         world.state.writeRps = 25;
         world.runS = 3;
@@ -130,7 +130,7 @@
             world.in(5 + i, () -> world.nodes.get(random.nextInt(5)).send(job, 2, false, Map.of()));
             if (i % 3 == 0) {
                 world.in(6 + i + random.nextDouble() * 6, () -> {
-                    World.Node node = world.nodes.get(random.nextInt(5));
+                    SimulatedCluster.Node node = world.nodes.get(random.nextInt(5));
                     node.askLater("abort", job, r -> node.users.abort(job, r), null);
                 });
             }
@@ -138,7 +138,7 @@
         for (double at = 5; at < 35; at += 0.02) {
             world.in(at, () -> {
                 String job = id(1 + random.nextInt(12));
-                for (World.Node node : world.nodes) {
+                for (SimulatedCluster.Node node : world.nodes) {
                     if (random.nextInt(12) == 0 && world.body(job) != null) {
                         node.repeat(job);
                     } else {
--- a/src/test/java/org/mountlug/node/PairsTest.java
+++ b/src/test/java/org/mountlug/node/SeededFaultsTest.java
@@ -14,7 +14,7 @@
  * Faults that meet by the luck of a seed, each at an offset from the other, with all checks of the world on. A seed that
  * fails is played again with {@code -Dmountlug.seeds=SEED..SEED}, and becomes a case of its own once its cause is known.
  */
-class PairsTest {
+class SeededFaultsTest {
     /** Played with every build; a longer list by hand. */
     private static final String SEEDS = "1..60";
 
@@ -36,17 +36,18 @@
         play(seed, true);
     }
 
-    private static Fault draw(SplittableRandom r, boolean newer, boolean first) {
-        int kinds = Fault.values().length;
+    private static InjectedFault draw(SplittableRandom r, boolean newer, boolean first) {
+        int kinds = InjectedFault.values().length;
         if (!newer) {
-            return Fault.values()[r.nextInt(Fault.EARLIER)];
+            return InjectedFault.values()[r.nextInt(InjectedFault.EARLIER)];
         }
-        return Fault.values()[first ? Fault.EARLIER + r.nextInt(kinds - Fault.EARLIER) : r.nextInt(kinds)];
+        return InjectedFault.values()[
+                first ? InjectedFault.EARLIER + r.nextInt(kinds - InjectedFault.EARLIER) : r.nextInt(kinds)];
     }
 
     private static void play(long seed, boolean newer) {
         SplittableRandom r = new SplittableRandom(seed);
-        World w = new World(
+        SimulatedCluster w = new SimulatedCluster(
                 r.nextBoolean() ? 3 : 5,
                 List.of(new Team("t", 0, 40, 0, 0, 1), new Team("u", 8, 16, 0, 0, 1), new Team("guest", 0, 0, 0, 0, 1)),
                 r.nextBoolean() ? 10 : 16);
@@ -68,7 +69,7 @@
                     : kind == 1
                             ? Map.of("crew", "u")
                             : kind == 2 ? Map.of("site", "a") : kind == 3 ? Map.of("oneZone", true) : Map.of();
-            World.Node n = w.nodes.get(r.nextInt(w.nodes.size()));
+            SimulatedCluster.Node n = w.nodes.get(r.nextInt(w.nodes.size()));
             for (double again = 0; again < 12; again += 3) {
                 w.in(at + again, () -> {
                     if (!w.accepted().contains(id)) {
@@ -77,7 +78,7 @@
                 });
             }
             if (r.nextInt(3) == 0) {
-                Fault.cancel(w, id, at + r.nextDouble() * 14, r.nextInt(w.nodes.size()));
+                InjectedFault.cancel(w, id, at + r.nextDouble() * 14, r.nextInt(w.nodes.size()));
             }
         }
         int faults = 2 + r.nextInt(3);
@@ -85,7 +86,7 @@
         StringBuilder what = new StringBuilder();
         double lastS = 0;
         for (int i = 0; i < faults; i++) {
-            Fault f = draw(r, newer, i == 0);
+            InjectedFault f = draw(r, newer, i == 0);
             double forS =
                     switch (r.nextInt(4)) {
                         case 0 -> 0.1 + r.nextDouble() * 2;
@@ -95,7 +96,7 @@
                     };
             long mine = r.nextLong();
             double start = at;
-            w.in(start, () -> f.begin(Fault.Scene.of(w, forS, new SplittableRandom(mine))));
+            w.in(start, () -> f.begin(InjectedFault.Scene.of(w, forS, new SplittableRandom(mine))));
             what.append(String.format("%s at %.2f for %.2f; ", f, at, forS));
             lastS = Math.max(lastS, at + f.lastsS(forS));
             // The next begins before this one is over, sometimes within milliseconds.
@@ -105,7 +106,7 @@
         w.runS = 5;
         for (String id : w.accepted()) {
             if (w.services.contains(id) || w.faulty.contains(id)) {
-                Fault.cancel(w, id, 60, 0);
+                InjectedFault.cancel(w, id, 60, 0);
             }
         }
         w.settle(260);
--- a/src/test/java/org/mountlug/node/ServicesTest.java
+++ b/src/test/java/org/mountlug/node/ServicesTest.java
@@ -19,13 +19,13 @@
     private static final Map<String, Object> SERVICE =
             Map.of("shape", "daemon", "urgency", "prod", "expectedS", 0.0, "loaners", false);
 
-    private static Set<String> running(World w) {
+    private static Set<String> running(SimulatedCluster w) {
         Set<String> tasks = new HashSet<>();
-        for (World.Worker x : w.workers.values()) {
+        for (SimulatedCluster.Worker x : w.workers.values()) {
             if (x.gone) {
                 continue;
             }
-            for (World.Task t : x.tasks.values()) {
+            for (SimulatedCluster.Task t : x.tasks.values()) {
                 if (t.job.equals(S) && t.state == org.mountlug.core.model.TaskState.RUNNING) {
                     tasks.add(t.job + "/" + t.index);
                 }
@@ -34,14 +34,14 @@
         return tasks;
     }
 
-    private static World serving(int replicas) {
-        World w = new World(3);
+    private static SimulatedCluster serving(int replicas) {
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(S, replicas, false, SERVICE);
         assertTrue(w.until(40, () -> running(w).size() == replicas));
         return w;
     }
 
-    private static World.Worker holder(World w) {
+    private static SimulatedCluster.Worker holder(SimulatedCluster w) {
         return w.workers.values().stream()
                 .filter(x -> x.tasks.values().stream().anyMatch(t -> t.job.equals(S)))
                 .findFirst()
@@ -63,8 +63,8 @@
         "outage, 60"
     })
     void replicasReturn(String loss, double within) {
-        World w = serving(6);
-        World.Worker first = holder(w);
+        SimulatedCluster w = serving(6);
+        SimulatedCluster.Worker first = holder(w);
         switch (loss) {
             case "done", "stopped", "error" -> {
                 w.replicasEnd = Cause.valueOf(loss.toUpperCase());
@@ -97,7 +97,7 @@
     /** Its user is told how many replicas run. */
     @Test
     void theNumberOfRunningReplicasIsTold() {
-        World w = serving(6);
+        SimulatedCluster w = serving(6);
         assertTrue(w.until(10, () -> {
             Map<String, Object> a = w.nodes.get(1).poll(S);
             return a != null && Integer.valueOf(6).equals(a.get("running")) && "running".equals(a.get("status"));
@@ -107,7 +107,7 @@
     /** One that ends at once again and again is slowed, and takes nobody else's turn. */
     @Test
     void endingAtOnceAgainAndAgainIsSlowed() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.faulty.add(S);
         w.accept(S, 2, false, SERVICE);
         w.accept("wk-000002", 8, false);
@@ -123,8 +123,8 @@
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"quiet", "restart", "machine dies", "machine cut", "leader ends", "all end", "twice"})
     void aServiceIsCalledOff(String amid) {
-        World w = serving(6);
-        World.Node asked =
+        SimulatedCluster w = serving(6);
+        SimulatedCluster.Node asked =
                 w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
         switch (amid) {
             case "restart" -> {
@@ -147,7 +147,7 @@
         if (amid.equals("twice")) {
             w.nodes.forEach(n -> n.abort(S));
         }
-        w.run(World.CANCEL_S);
+        w.run(SimulatedCluster.CANCEL_S);
         assertEquals(Set.of(), running(w));
         assertEquals("withdrawn", w.status(S, 75));
         w.run(30);
--- a/src/test/java/org/mountlug/node/World.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -28,7 +28,7 @@
  * Controllers without sockets, a state service, a cloud and workers in memory, under a clock that the test drives. The
  * workers check the rules as they go: {@link #broken} collects what must never happen.
  */
-final class World {
+final class SimulatedCluster {
     /** Seconds of a worker's lease. */
     final double leaseS;
 
@@ -97,9 +97,9 @@
     double listLagS;
     /** Whether a filter refuses connections between controllers. */
     boolean peersRefuse;
-    /** Seconds by which orders sent straight to workers come late, their answers lost. */
+    /** Seconds by which orders sent directly to workers come late, their answers lost. */
     double commandLateS;
-    /** Orders sent straight to workers that hear nothing, to be delivered late. */
+    /** Orders sent directly to workers that hear nothing, to be delivered late. */
     final List<Runnable> heldCommands = new ArrayList<>();
 
     int rented;
@@ -154,20 +154,20 @@
         }
     }
 
-    World(int controllers) {
+    SimulatedCluster(int controllers) {
         this(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)));
     }
 
-    World(int controllers, List<Team> teams) {
+    SimulatedCluster(int controllers, List<Team> teams) {
         this(controllers, teams, 10);
     }
 
-    World(int controllers, List<Team> teams, double leaseS) {
+    SimulatedCluster(int controllers, List<Team> teams, double leaseS) {
         this(controllers, teams, leaseS, false, 8, 8);
     }
 
     /** @param old whether the controllers begin with the version in production, as far as data decides it */
-    World(int controllers, List<Team> teams, double leaseS, boolean old, double leastValueKb, int txnOps) {
+    SimulatedCluster(int controllers, List<Team> teams, double leaseS, boolean old, double leastValueKb, int txnOps) {
         this.leaseS = leaseS;
         this.leastValueKb = leastValueKb;
         this.txnOps = txnOps;
@@ -512,7 +512,7 @@
                     s,
                     Operators.defaults(),
                     client,
-                    alive(mine, World.this::cloud),
+                    alive(mine, SimulatedCluster.this::cloud),
                     a -> alive(mine, commands(a, this)),
                     () -> now,
                     () -> (long) (now * 1000),
@@ -823,7 +823,7 @@
         return "unanswered";
     }
 
-    /** The way straight to a worker, which its address names. */
+    /** The way directly to a worker, which its address names. */
     private Calls commands(String address, Node from) {
         return (method, path, body, ms, then) -> {
             Worker w = workers.get(address);
@@ -987,7 +987,7 @@
         boolean deaf;
         /** Nothing leaves. */
         boolean cut;
-        /** No report leaves, but orders sent straight here arrive. */
+        /** No report leaves, but orders sent directly here arrive. */
         boolean mute;
         /** Whether it is in a zone that is cut off from the rest. */
         boolean inside;
@@ -997,7 +997,7 @@
         double hangsUntil;
         /** Seconds by which its reports are held up on their way; the answers are not. */
         double reportLateS;
-        /** Whether a report of its was overtaken by the answer to orders sent straight here, and answered all the same. */
+        /** Whether a report of its was overtaken by the answer to orders sent directly here, and answered all the same. */
         boolean overtaken;
 
         private long direct;
@@ -1168,7 +1168,7 @@
             }
         }
 
-        /** Orders sent straight here: refused under a lower token or for another session. */
+        /** Orders sent directly here: refused under a lower token or for another session. */
         void command(Map<String, Object> body, java.util.function.Consumer<Http.Answer> then) {
             if (gone) {
                 return;
--- a/src/test/java/org/mountlug/node/TroublesTest.java
+++ b/src/test/java/org/mountlug/node/SingleFaultsTest.java
@@ -20,7 +20,7 @@
  * Whole controllers against stand-ins in memory, through the troubles to expect. In every case the workers check that
  * nothing runs twice or after its abort, and the state service that no limit is passed.
  */
-class TroublesTest {
+class SingleFaultsTest {
     /** Seconds within which each job must be answered about once troubles are over. */
     private static final double ANSWERED_S = 75;
 
@@ -28,13 +28,13 @@
         return String.format("wk-%06d", n);
     }
 
-    private static void jobs(World w, int from, int count) {
+    private static void jobs(SimulatedCluster w, int from, int count) {
         for (int i = 0; i < count; i++) {
             w.accept(id(from + i), 1 + i % 4 * 3, i % 3 == 2);
         }
     }
 
-    private static void allDone(World w, int from, int count, double mostS) {
+    private static void allDone(SimulatedCluster w, int from, int count, double mostS) {
         for (int i = 0; i < count; i++) {
             String id = id(from + i);
             assertTrue(w.until(mostS, () -> w.status(id, 5).equals("done")), () -> id + " is " + w.status(id, 5));
@@ -45,7 +45,7 @@
     @ParameterizedTest(name = "{0} controllers")
     @ValueSource(ints = {1, 3, 5, 7})
     void aQuietDayRunsEverything(int controllers) {
-        World w = new World(controllers);
+        SimulatedCluster w = new SimulatedCluster(controllers);
         jobs(w, 1, 9);
         allDone(w, 1, 9, 120);
         assertEquals(1, w.nodes.stream().filter(n -> n.controller.leads()).count());
@@ -55,18 +55,18 @@
     @ParameterizedTest(name = "{0} of 5 controllers end, back after {1} s, again after {2} s")
     @CsvSource({"1, 5, 0", "1, 0.2, 0", "5, 5, 0", "5, 0.2, 0", "5, 0.3, 0.9", "3, 0.1, 4.2", "5, 8, 11"})
     void everyAcceptedJobOutlivesTheEndOfControllers(int count, double back, double again) {
-        World w = new World(5);
+        SimulatedCluster w = new SimulatedCluster(5);
         jobs(w, 1, 6);
         w.accept(id(50), 400, false);
         w.run(3);
         for (int round = 0; round < (again > 0 ? 2 : 1); round++) {
-            List<World.Node> ends = new ArrayList<>(w.nodes);
-            World.Node leader = w.leader();
+            List<SimulatedCluster.Node> ends = new ArrayList<>(w.nodes);
+            SimulatedCluster.Node leader = w.leader();
             if (leader != null) {
                 ends.remove(leader);
                 ends.add(0, leader);
             }
-            for (World.Node n : ends.subList(0, count)) {
+            for (SimulatedCluster.Node n : ends.subList(0, count)) {
                 n.restartAfter(back);
             }
             if (round == 0 && again > 0) {
@@ -85,11 +85,11 @@
     /** The protocol's largest job, with everything ending in the middle of it, and no value over its limit. */
     @Test
     void aJobOfTheLargestSizeStaysKnownAndRuns() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(id(1), 100_000, false);
         assertTrue(w.until(120, () -> w.status(id(1), 5).equals("running")));
         w.run(40);
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.restartAfter(0.5);
         }
         w.run(1);
@@ -103,15 +103,15 @@
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"unreadable record", "outage", "outage and all ended", "leader refused", "leader silent"})
     void eachJobIsAnsweredAboutOnceTroublesAreOver(String trouble) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         jobs(w, 1, 5);
         w.run(4);
-        World.Node leader = w.leader();
+        SimulatedCluster.Node leader = w.leader();
         switch (trouble) {
             case "unreadable record" -> {
                 w.state.scribble("j/" + id(900), Map.of("s", Map.of("u", 99, "n", "x"), "p", "?.?"));
                 w.state.scribble("r/" + id(901), Map.of("t", List.of("nonsense")));
-                for (World.Node n : w.nodes) {
+                for (SimulatedCluster.Node n : w.nodes) {
                     n.restartAfter(1);
                 }
             }
@@ -121,7 +121,7 @@
         }
         w.run(8);
         if (trouble.endsWith("all ended")) {
-            for (World.Node n : w.nodes) {
+            for (SimulatedCluster.Node n : w.nodes) {
                 n.restartAfter(1);
             }
         }
@@ -147,7 +147,8 @@
         "4, high, true, high, t"
     })
     void noQueueStarvesAJob(int tasks, String urgency, boolean gang, String others, String team) {
-        World w = new World(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 0, 0, 0, 0, 1)));
+        SimulatedCluster w =
+                new SimulatedCluster(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 0, 0, 0, 0, 1)));
         w.capacity = 5;
         w.runS = 8;
         for (int i = 0; i < 4; i++) {
@@ -173,11 +174,11 @@
     @ParameterizedTest(name = "gang {0}, deaf from the start {1}")
     @CsvSource({"false, false", "true, false", "false, true", "true, true"})
     void aMachineThatHearsNothingIsNoticed(boolean gang, boolean fromTheStart) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 20;
         w.accept(id(9), 1, false);
         assertTrue(w.until(60, () -> !w.workers.isEmpty()));
-        World.Worker deaf = w.workers.values().iterator().next();
+        SimulatedCluster.Worker deaf = w.workers.values().iterator().next();
         w.run(4);
         deaf.deaf = fromTheStart;
         w.accept(id(1), gang ? 8 : 12, gang);
@@ -197,7 +198,7 @@
         assertEquals(List.of(), w.broken());
     }
 
-    /** Orders sent straight to a worker that come late, with no answer: nothing runs twice or after its abort. */
+    /** Orders sent directly to a worker that come late, with no answer: nothing runs twice or after its abort. */
     @ParameterizedTest(name = "{0} s late, aborted {1}, new leader {2}")
     @CsvSource({
         "1, false, false",
@@ -211,7 +212,7 @@
         "9, false, true"
     })
     void lateOrdersStraightToWorkersDoNoHarm(double lateS, boolean aborted, boolean newLeader) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(id(9), 1, false);
         w.run(12);
         w.commandLateS = lateS;
@@ -241,24 +242,24 @@
     @ParameterizedTest(name = "copies {0} s late, new leader {1}")
     @CsvSource({"3, false", "3, true", "15, false", "15, true", "40, false", "40, true"})
     void lateCopiesOfReportsChangeNothing(double lateS, boolean newLeader) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 12;
         jobs(w, 1, 8);
         w.run(10);
         List<Report> copies = new ArrayList<>();
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             copies.addAll(k.sent);
         }
         if (newLeader) {
             w.leader().restartAfter(6);
         }
         // One machine of an older session, and one that is gone for good.
-        World.Worker cut = w.workers.values().iterator().next();
+        SimulatedCluster.Worker cut = w.workers.values().iterator().next();
         cut.cut = true;
         w.in(14, () -> cut.cut = false);
         for (Report r : copies) {
             w.in(lateS, () -> {
-                for (World.Node n : w.nodes) {
+                for (SimulatedCluster.Node n : w.nodes) {
                     if (n.up) {
                         n.controller.beat(r);
                     }
@@ -270,7 +271,7 @@
         w.run(90);
         assertTrue(w.workers.size() <= 2, "idle machines are returned in spite of the copies");
         for (Report r : copies) {
-            for (World.Node n : w.nodes) {
+            for (SimulatedCluster.Node n : w.nodes) {
                 n.controller.beat(r);
             }
         }
@@ -282,17 +283,18 @@
     @ParameterizedTest(name = "for {0} s, transactions held back: {1}")
     @CsvSource({"12, false", "40, true", "70, true"})
     void aLeaderWithNothingButItsWorkersDoesNoHarm(double forS, boolean late) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 300;
         w.accept(id(1), 8, false);
         assertTrue(w.until(60, () -> w.status(id(1), 5).equals("running")));
         w.run(5);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         old.link = StateStandIn.Link.SILENT;
         old.cutFromPeers = true;
         w.run(6);
         int starts = w.workers.values().stream().mapToInt(k -> k.starts).sum();
-        World.Node other = w.nodes.stream().filter(n -> n != old).findFirst().orElseThrow();
+        SimulatedCluster.Node other =
+                w.nodes.stream().filter(n -> n != old).findFirst().orElseThrow();
         assertTrue(w.until(10, () -> w.leader() != null && w.leader() != old), "another one leads");
         // Through the cut leader nobody gets an answer older than one given; none at all is right.
         Map<String, Object> a = other.abort(id(1));
@@ -301,12 +303,12 @@
         Map<String, Object> stale = old.poll(id(1));
         assertTrue(stale == null || (int) stale.get("code") != 200 || "withdrawn".equals(stale.get("status")));
         w.accept(id(2), 2, false);
-        w.run(World.CANCEL_S + 1);
-        for (World.Worker k : w.workers.values()) {
+        w.run(SimulatedCluster.CANCEL_S + 1);
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             assertTrue(k.tasks.values().stream().noneMatch(t -> t.job.equals(id(1))), "gone in time");
         }
         assertTrue(starts >= 8);
-        w.run(Math.max(0, forS - World.CANCEL_S));
+        w.run(Math.max(0, forS - SimulatedCluster.CANCEL_S));
         old.link = StateStandIn.Link.GOOD;
         old.cutFromPeers = false;
         if (late) {
@@ -323,17 +325,17 @@
     /** A machine's worker is back at once as if new; late repeats of what was sent before do nothing. */
     @Test
     void aMachineBackWithinAFractionOfASecondStartsAnew() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 15;
         w.accept(id(1), 8, false);
         assertTrue(w.until(60, () -> w.status(id(1), 5).equals("running")));
-        for (World.Worker k : new ArrayList<>(w.workers.values())) {
+        for (SimulatedCluster.Worker k : new ArrayList<>(w.workers.values())) {
             k.tasks.clear();
             k.session++;
             k.leaseFrom = w.now;
             k.token = 0;
         }
-        World.Node leader = w.leader();
+        SimulatedCluster.Node leader = w.leader();
         leader.restartAfter(0.2); // in the middle of it an election too
         allDone(w, 1, 1, 120);
     }
@@ -341,18 +343,18 @@
     /** Submissions, aborts and polls repeated at any later time give the final answer and nothing else. */
     @Test
     void lateRepeatsOfRequestsChangeNothing() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(id(1), 3, false);
         w.accept(id(2), 3, false);
         w.run(2);
         assertEquals("withdrawn", w.nodes.get(0).abort(id(2)).get("status"));
         allDone(w, 1, 1, 60);
         w.run(40);
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.restartAfter(0.3);
         }
         w.run(10);
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             assertEquals("done", n.submit(id(1), 3, false).get("status"));
             assertEquals("done", n.abort(id(1)).get("status"));
             assertEquals("withdrawn", n.submit(id(2), 3, false).get("status"));
@@ -381,9 +383,9 @@
         "known already, 200"
     })
     void submissionsAreJudgedAtOnce(String what, int code) {
-        World w = new World(3, List.of(new Team("t", 0, 40, 0, 0, 1)));
+        SimulatedCluster w = new SimulatedCluster(3, List.of(new Team("t", 0, 40, 0, 0, 1)));
         w.run(5);
-        World.Node n = w.nodes.get(1);
+        SimulatedCluster.Node n = w.nodes.get(1);
         Map<String, Object> more = new HashMap<>();
         switch (what) {
             case "field missing" -> more.put("urgency", null);
@@ -416,7 +418,7 @@
     /** More than a node's part of the budget is refused at once, with none of it lost. */
     @Test
     void whatPassesTheBudgetIsRefusedAtOnce() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.run(5);
         List<Integer> codes = new ArrayList<>();
         for (int i = 0; i < 400; i++) {
@@ -433,7 +435,7 @@
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"outage", "refused"})
     void whatCannotBeServedIsAnsweredAtOnce(String trouble) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(id(1), 3, false);
         w.run(5);
         if (trouble.equals("outage")) {
@@ -451,10 +453,10 @@
     @ParameterizedTest(name = "{0} controllers, filter {1}")
     @CsvSource({"3, false", "7, false", "3, true", "7, true"})
     void anEndedLeaderIsReplacedSoonButNotOneBehindAFilter(int controllers, boolean filter) {
-        World w = new World(controllers);
+        SimulatedCluster w = new SimulatedCluster(controllers);
         w.accept(id(1), 2, false);
         w.run(10);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         long token = old.token();
         if (filter) {
             w.peersRefuse = true;
@@ -491,24 +493,25 @@
         "28, /holds, false"
     })
     void aLeaderThatStoodStillDoesNoHarm(double forS, String at, boolean aborted) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 12;
         jobs(w, 1, 6);
         w.run(10);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         old.freezeForS = forS;
         if (at.equals("any")) {
             old.freeze(forS);
         } else {
             old.freezeAt = at;
         }
-        List<World.Node> others = w.nodes.stream().filter(n -> n != old).toList();
+        List<SimulatedCluster.Node> others =
+                w.nodes.stream().filter(n -> n != old).toList();
         for (int i = 20; i < 24; i++) {
             assertEquals(201, others.get(0).submit(id(i), 5, i % 2 == 0).get("code"));
         }
         assertTrue(w.until(8, () -> old.frozenUntil > 0));
         w.run(1);
-        World.Node other = others.get(1);
+        SimulatedCluster.Node other = others.get(1);
         if (aborted) {
             for (int i = 20; i < 22; i++) {
                 assertEquals("withdrawn", other.abort(id(i)).get("status"));
@@ -518,7 +521,7 @@
         // The first that it reads on waking is what waited in its sockets.
         if (forS > 4) {
             w.now = old.frozenUntil;
-            for (World.Worker k : w.workers.values()) {
+            for (SimulatedCluster.Worker k : w.workers.values()) {
                 assertFalse(
                         old.controller.beat(k.report()) instanceof Controller.Beat.Orders, "no answer on old belief");
             }
@@ -537,13 +540,13 @@
     @ParameterizedTest(name = "{0} controllers")
     @ValueSource(ints = {3, 7})
     void aLeaderWithoutItsWorkersGivesUpInTime(int controllers) {
-        World w = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 22);
+        SimulatedCluster w = new SimulatedCluster(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 22);
         w.runS = 80;
         w.accept(id(1), 16, false);
         assertTrue(w.until(
                 60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 16));
         w.run(15);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         old.cutFromWorkers = true;
         w.in(37, () -> old.cutFromWorkers = false);
         assertTrue(w.until(14, () -> w.leader() != null && w.leader() != old), "another one leads");
@@ -554,12 +557,12 @@
     /** A leader whose machines are all cut off from everybody has nobody to give way to. */
     @Test
     void aLeaderWhoseMachinesAreAllCutOffGoesOn() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 30;
         w.accept(id(1), 16, false);
         w.run(25);
         long token = w.leader().token();
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.cut = true;
             w.in(20, () -> k.cut = false);
         }
@@ -572,7 +575,7 @@
     @ParameterizedTest(name = "back after {0} s")
     @ValueSource(doubles = {0.2, 8})
     void aNewLeaderKeepsTheMachinesThereAre(double back) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 25;
         w.accept(id(1), 40, false, Map.of("dueS", 35.0));
         assertTrue(w.until(60, () -> w.status(id(1), 5).equals("done")));
@@ -597,12 +600,12 @@
     /** Its own silence is not the machines': nothing is given up for it, though it still leads on waking. */
     @Test
     void aLeaderThatStoodStillAmidAnOutageCountsNoSilenceOfItsOwn() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 60;
         w.accept(id(1), 12, false);
         assertTrue(w.until(60, () -> w.status(id(1), 5).equals("running")));
         w.run(5);
-        World.Node old = w.leader();
+        SimulatedCluster.Node old = w.leader();
         long token = old.token();
         List<String> before = List.copyOf(w.workers.keySet());
         w.state.outage = true;
@@ -616,17 +619,17 @@
         allDone(w, 1, 1, 200);
     }
 
-    /** A room that is cut off while the leader changes is still there when it comes back, idle machines and all. */
+    /** A zone that is cut off while the leader changes is still there when it comes back, idle machines and all. */
     @Test
     void aRoomThatIsCutOffAmidAnElectionIsNotRentedTwice() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 25;
         w.accept(id(1), 40, false, Map.of("dueS", 35.0));
         assertTrue(w.until(60, () -> w.status(id(1), 5).equals("done")));
         int rented = w.rented;
         List<String> there = List.copyOf(w.workers.keySet());
         assertTrue(there.size() >= 5, "idle machines are left");
-        for (World.Worker k : w.workers.values()) {
+        for (SimulatedCluster.Worker k : w.workers.values()) {
             k.cut = true;
             w.in(60, () -> k.cut = false);
         }
@@ -650,14 +653,14 @@
         "30, true, true"
     })
     void machinesThatHangRunNothingTwice(double forS, boolean gang, boolean newLeader) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.runS = 25;
         w.accept(id(1), 12, gang);
         assertTrue(w.until(
                 60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() == 12));
         w.run(3);
-        List<World.Worker> hung = new ArrayList<>(w.workers.values());
-        for (World.Worker k : hung) {
+        List<SimulatedCluster.Worker> hung = new ArrayList<>(w.workers.values());
+        for (SimulatedCluster.Worker k : hung) {
             k.hangsUntil = w.now + forS;
         }
         w.run(1);
@@ -677,7 +680,7 @@
     @ParameterizedTest(name = "{0} of 20 machines die, {1} are cut off for {2} s")
     @CsvSource({"10, 0, 0", "0, 12, 15", "6, 8, 30", "19, 0, 0", "0, 20, 12"})
     void manyMachinesLostTogether(int die, int cut, double cutS) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.capacity = 60;
         w.runS = 25;
         for (int i = 1; i <= 4; i++) {
@@ -688,7 +691,7 @@
                 60, () -> w.workers.values().stream().mapToInt(k -> k.starts).sum() >= 80));
         int before = w.workers.size();
         int n = 0;
-        for (World.Worker k : new ArrayList<>(w.workers.values())) {
+        for (SimulatedCluster.Worker k : new ArrayList<>(w.workers.values())) {
             if (n < die) {
                 k.die();
             } else if (n < die + cut) {
@@ -705,13 +708,13 @@
     @ParameterizedTest(name = "sick {0}, slow {1}, bad job {2}")
     @CsvSource({"true, 1, false", "false, 3, false", "false, 1, true", "true, 3, true"})
     void badMachinesAreNoticedFromOutcomes(boolean sick, double slow, boolean badJob) {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.capacity = 6;
         w.runS = 5;
         w.accept(id(1), 800, false);
         assertTrue(w.until(60, () -> w.workers.size() == 6));
         w.run(8);
-        World.Worker bad = w.workers.values().iterator().next();
+        SimulatedCluster.Worker bad = w.workers.values().iterator().next();
         List<String> good =
                 w.workers.keySet().stream().filter(k -> !k.equals(bad.name)).toList();
         bad.sick = sick;
@@ -729,7 +732,7 @@
     /** What a new leader finds running began it does not know when: nothing that runs on after that is slow. */
     @Test
     void aNewLeaderTakesNoMachineForSlow() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.capacity = 12;
         w.runS = 12;
         w.accept(id(1), 600, false, Map.of("dueS", 60.0));
@@ -746,7 +749,7 @@
 
     @Test
     void tokensGrowStrictlyFromTermToTerm() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(id(1), 2, false);
         assertTrue(w.until(60, () -> w.status(id(1), 5).equals("running")));
         long before = w.leader().token();
--- a/src/test/java/org/mountlug/node/StateStandIn.java
+++ b/src/test/java/org/mountlug/node/StateStandIn.java
@@ -40,7 +40,7 @@
     /** Seconds by which every answer takes longer. */
     double slowS;
     /** Sees each transaction just before it leaves its node. */
-    java.util.function.BiConsumer<World.Node, Map<String, Object>> onMulti;
+    java.util.function.BiConsumer<SimulatedCluster.Node, Map<String, Object>> onMulti;
 
     int lateCarriedOut;
     int lateSucceeded;
@@ -50,7 +50,7 @@
 
     private record Entry(long stamp, Map<String, Object> news) {}
 
-    private final World world;
+    private final SimulatedCluster world;
     private final int opsMost;
     private final int valueMost;
     /** The limits from now on, lowered without notice: beyond them a change gets 400. */
@@ -71,7 +71,7 @@
     boolean outage;
     int largestValue;
 
-    StateStandIn(World world, int opsMost, int valueKb) {
+    StateStandIn(SimulatedCluster world, int opsMost, int valueKb) {
         this.world = world;
         this.opsMost = opsMost;
         this.valueMost = valueKb * 1024;
@@ -79,7 +79,7 @@
         this.valueNow = valueMost;
     }
 
-    Calls calls(World.Node from, java.util.function.Supplier<Link> link) {
+    Calls calls(SimulatedCluster.Node from, java.util.function.Supplier<Link> link) {
         return (method, path, body, timeoutMs, then) -> {
             // Through bytes and back, so that a value cannot be shared by mistake.
             Map<String, Object> copy = body == null ? Map.of() : copy(body);
--- a/src/test/java/org/mountlug/node/UpgradeTest.java
+++ b/src/test/java/org/mountlug/node/UpgradeTest.java
@@ -21,8 +21,9 @@
     private static final double LEAST_KB = 0.9;
     private static final int LEAST_OPS = 3;
 
-    private static World old(int controllers) {
-        World w = new World(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 10, true, LEAST_KB, LEAST_OPS);
+    private static SimulatedCluster old(int controllers) {
+        SimulatedCluster w =
+                new SimulatedCluster(controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 10, true, LEAST_KB, LEAST_OPS);
         w.runS = 9;
         return w;
     }
@@ -31,7 +32,7 @@
         return String.format("wk-%06d", n);
     }
 
-    private static void allDone(World w, int from, int to, double mostS) {
+    private static void allDone(SimulatedCluster w, int from, int to, double mostS) {
         for (int i = from; i <= to; i++) {
             String id = id(i);
             assertTrue(w.until(mostS, () -> w.status(id, 5).equals("done")), () -> id + " is " + w.status(id, 5));
@@ -43,13 +44,13 @@
     @ParameterizedTest(name = "leader {0}, {1} s apart, another ends: {2}")
     @CsvSource({"first, 6, none", "last, 6, none", "any, 2, none", "any, 6, old", "last, 4, new", "first, 0.3, old"})
     void jobsOutliveTheUpgrade(String leader, double apart, String alsoEnds) {
-        World w = old(5);
+        SimulatedCluster w = old(5);
         for (int i = 1; i <= 6; i++) {
             w.accept(id(i), i * 30, i % 3 == 0 && i < 6, Map.of("vcpus", i % 3 == 0 ? 0.5 : 1.0));
         }
         w.run(8);
-        List<World.Node> order = new ArrayList<>(w.nodes);
-        World.Node first = w.leader();
+        List<SimulatedCluster.Node> order = new ArrayList<>(w.nodes);
+        SimulatedCluster.Node first = w.leader();
         if (!leader.equals("any") && first != null) {
             order.remove(first);
             order.add(leader.equals("first") ? 0 : order.size(), first);
@@ -81,14 +82,14 @@
     /** Until the last one has gone over, all is written as production reads it, whoever leads. */
     @Test
     void nothingNewIsWrittenWhileOneCannotReadIt() {
-        World w = old(3);
+        SimulatedCluster w = old(3);
         w.accept(id(1), 150, false);
         w.run(5);
         w.nodes.get(0).upgradeAfter(1);
         w.nodes.get(1).upgradeAfter(3);
         w.run(20);
         for (int i = 0; i < 4; i++) { // the leader changes in both directions
-            World.Node l = w.leader();
+            SimulatedCluster.Node l = w.leader();
             if (l != null) {
                 l.restartAfter(1);
             }
@@ -106,7 +107,7 @@
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"finishes", "called off", "called off by all", "leader ends in mid-switch", "outage"})
     void recordsThatAreTooLargeAreDealtWith(String what) {
-        World w = old(3);
+        SimulatedCluster w = old(3);
         w.runS = 25;
         w.capacity = 100;
         w.accept(id(1), 160, false, Map.of("ramGb", 16.0, "lane", "l".repeat(100), "bundle", "b".repeat(100)));
@@ -115,15 +116,15 @@
                 w.until(60, () -> org.mountlug.wire.Json.length(w.state.value("j/" + id(1))) > LEAST_KB * 1024),
                 () -> "largest value " + w.state.largestValue + ", machines " + w.workers.size());
         Collections.shuffle(w.nodes, new java.util.Random(3));
-        for (World.Node n : w.nodes) {
+        for (SimulatedCluster.Node n : w.nodes) {
             n.upgradeAfter(0.5);
         }
         w.state.lower(LEAST_KB, LEAST_OPS);
         w.run(1);
         switch (what) {
             case "called off", "called off by all" -> {
-                List<World.Node> asked = what.equals("called off") ? w.nodes.subList(0, 1) : w.nodes;
-                for (World.Node n : asked) {
+                List<SimulatedCluster.Node> asked = what.equals("called off") ? w.nodes.subList(0, 1) : w.nodes;
+                for (SimulatedCluster.Node n : asked) {
                     assertTrue(
                             w.until(40, () -> {
                                 Map<String, Object> a = n.abort(id(1));
@@ -144,7 +145,7 @@
         }
         w.accept(id(3), 40, false);
         if (what.startsWith("called off")) {
-            w.run(World.CANCEL_S);
+            w.run(SimulatedCluster.CANCEL_S);
             assertEquals("withdrawn", w.status(id(1), 75));
             allDone(w, 2, 3, 600);
         } else {
@@ -158,10 +159,10 @@
     /** A change that the state service never takes keeps nobody else's from being written, and nobody from leading. */
     @Test
     void aRefusedChangeStopsNobodyElse() {
-        World w = new World(3);
+        SimulatedCluster w = new SimulatedCluster(3);
         w.accept(id(1), 4, false);
         w.run(10);
-        World.Node leader = w.leader();
+        SimulatedCluster.Node leader = w.leader();
         long token = leader.token();
         w.accept(id(2), 60, false, Map.of("lane", "l".repeat(100)));
         w.accept(id(3), 1, false);
