--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -67,7 +67,7 @@
                     .receiveFullBytes(
                             (y, bytes) -> y.dispatch(SameThreadExecutor.INSTANCE, () -> {
                                 if (beat) {
-                                    beat(y, bytes);
+                                    handleReport(y, bytes);
                                 } else {
                                     users.submit(bytes, reply(y));
                                 }
@@ -136,7 +136,7 @@
 
     // ---- workers ----------------------------------------------------------------------------------------------
 
-    private void beat(HttpServerExchange x, byte[] bytes) {
+    private void handleReport(HttpServerExchange x, byte[] bytes) {
         Report r;
         try {
             r = AgentCodec.report(Cbor.readMap(bytes));
@@ -147,10 +147,10 @@
             empty(x, 400);
             return;
         }
-        Controller.Beat b = node.beat(r);
-        if (b instanceof Controller.Beat.Orders o) {
+        Controller.ReportAnswer b = node.handleReport(r);
+        if (b instanceof Controller.ReportAnswer.Orders o) {
             answer(x, 200, AgentCodec.answer(o.token(), o.orders()));
-        } else if (b instanceof Controller.Beat.Elsewhere e) {
+        } else if (b instanceof Controller.ReportAnswer.Elsewhere e) {
             answer(x, 421, e.leader() == null ? Map.of() : Map.of("foreman", e.leader()));
         } else {
             empty(x, 503);
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -485,7 +485,7 @@
         }
         LiveRecords records = leader.records();
         for (String id : h.answer().aborts()) {
-            records.abortTold(id);
+            records.cancellationNoticed(id);
         }
         records.knownByPeers(peerView.knownUntilS(records.knownUntilS(), now));
     }
@@ -500,9 +500,9 @@
      * such answer, as a leader that is not served hears of cancellations in no other way.
      */
     public void abortAccepted(String id) {
-        peerView.aborted(id, clockS.getAsDouble());
+        peerView.cancelled(id, clockS.getAsDouble());
         if (leader != null) {
-            leader.records().abortTold(id);
+            leader.records().cancellationNoticed(id);
         }
     }
 
@@ -588,38 +588,38 @@
     }
 
     /** What to answer a worker. */
-    public sealed interface Beat {
+    public sealed interface ReportAnswer {
         /** Orders under our token. */
-        record Orders(long token, List<Order> orders) implements Beat {}
+        record Orders(long token, List<Order> orders) implements ReportAnswer {}
 
         /** Somebody else leads, perhaps unknown who. */
-        record Elsewhere(String leader) implements Beat {}
+        record Elsewhere(String leader) implements ReportAnswer {}
 
         /** We lead but may not renew. */
-        record Blind() implements Beat {}
+        record Blind() implements ReportAnswer {}
     }
 
     /** Takes in a worker's report and decides the answer. */
-    public Beat beat(Report r) {
-        metrics.beat();
+    public ReportAnswer handleReport(Report r) {
+        metrics.handleReport();
         reports.add(clockS.getAsDouble());
         if (leader == null || !election.leading()) {
             String l = election.leader();
-            return new Beat.Elsewhere(settings.label().equals(l) || missedByWorkers(l) ? null : l);
+            return new ReportAnswer.Elsewhere(settings.label().equals(l) || missedByWorkers(l) ? null : l);
         }
         noticeStandstill();
         double now = clockS.getAsDouble();
         if (!trusted(now) || !leader.mayRenew(now) || leader.unanswerable(r.machine())) {
             metrics.unanswered();
-            return new Beat.Blind();
+            return new ReportAnswer.Blind();
         }
         List<Order> orders = leader.report(r);
         if (orders == null) {
             LOG.info("deposed: {} knows token {}", r.machine(), r.token());
             election.depose();
-            return new Beat.Elsewhere(null);
+            return new ReportAnswer.Elsewhere(null);
         }
-        return new Beat.Orders(leader.cluster().token(), orders);
+        return new ReportAnswer.Orders(leader.cluster().token(), orders);
     }
 
     /** Whether this node can take requests. */
--- a/src/main/java/org/mountlug/node/LiveRecords.java
+++ b/src/main/java/org/mountlug/node/LiveRecords.java
@@ -66,7 +66,7 @@
      * A notice may come while records read before it are still being loaded, so it is kept until there is something to
      * apply it to, or until an answer of the state service to a later question shows that the job is over.
      */
-    private final Map<String, Double> told = new HashMap<>();
+    private final Map<String, Double> noticed = new HashMap<>();
 
     private boolean loaded;
     private long watchFrom;
@@ -78,7 +78,7 @@
      * way: a watch that stayed open through a refusal says nothing of that time. It counts after what it brings has
      * been applied. 410 and reloading move it by nothing.</li>
      * <li>The word of all peers without a gap ({@link org.mountlug.peer.PeerView#knownUntilS}), each of whose lists went
-     * through {@link #abortTold} first.</li>
+     * through {@link #cancellationNoticed} first.</li>
      * </ul>
      * Before everything is loaded nothing is known at all, see {@link #knownUntilS}.
      */
@@ -100,23 +100,23 @@
         return loaded ? viewS : Double.NEGATIVE_INFINITY;
     }
 
-    /** The peers' lists, all of which have come through {@link #abortTold}, reach up to this time without a gap. */
+    /** The peers' lists, all of which have come through {@link #cancellationNoticed}, reach up to this time without a gap. */
     void knownByPeers(double untilS) {
         viewS = Math.max(viewS, untilS);
     }
 
     /** A user was told that this job is cancelled; the record says so too, but may not be readable now. */
-    void abortTold(String id) {
+    void cancellationNoticed(String id) {
         if (loaded && term.knows(id)) {
             term.cancelled(id);
         } else {
-            told.put(id, clockS.getAsDouble());
+            noticed.put(id, clockS.getAsDouble());
         }
     }
 
     /** Notices that wait for something to be applied to. */
     int noticesKept() {
-        return told.size();
+        return noticed.size();
     }
 
     private void later(Runnable r, int ms) {
@@ -228,7 +228,7 @@
     private void adopt(Job j, double now) {
         String id = j.spec.id();
         term.adopt(j, now);
-        if (told.remove(id) != null && term.knows(id)) {
+        if (noticed.remove(id) != null && term.knows(id)) {
             term.cancelled(id);
         }
     }
@@ -278,11 +278,11 @@
                 term.images(Fields.map(a.body().get("v")));
             }
             loaded = true;
-            for (String id : List.copyOf(told.keySet())) {
+            for (String id : List.copyOf(noticed.keySet())) {
                 if (!term.knows(id)) {
                     continue;
                 }
-                told.remove(id);
+                noticed.remove(id);
                 term.cancelled(id);
             }
             term.loaded();
@@ -317,7 +317,7 @@
                 watchFrom = Math.max(watchFrom, Fields.num(a.body(), "epoch", watchFrom));
                 viewS = Math.max(viewS, asked);
                 // What was told is durable, so these would have been shown by now, were they not over.
-                told.values().removeIf(heardS -> heardS < asked);
+                noticed.values().removeIf(heardS -> heardS < asked);
                 later(this::watch, Constants.WATCH_PAUSE_MS);
             } else if (a.status() == 410) {
                 reload(null, true);
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -39,7 +39,7 @@
     }
 
     /** Counts a worker's report. */
-    public void beat() {
+    public void handleReport() {
         beats.incrementAndGet();
     }
 
--- a/src/main/java/org/mountlug/peer/PeerView.java
+++ b/src/main/java/org/mountlug/peer/PeerView.java
@@ -14,7 +14,7 @@
  * anew since, has proven nothing for the time between.
  */
 public final class PeerView {
-    private record Known(
+    private record PeerStatus(
             long boot,
             double sinceS,
             double untilS,
@@ -31,7 +31,7 @@
     private final Map<String, Refusal> refusals = new HashMap<>();
     private final List<String> peers;
     private final double keepS;
-    private final Map<String, Known> known = new HashMap<>();
+    private final Map<String, PeerStatus> known = new HashMap<>();
     private final ArrayDeque<Abort> aborts = new ArrayDeque<>();
 
     /** A view of these peers, each of which lists its cancellations for {@code keepS} seconds. */
@@ -41,7 +41,7 @@
     }
 
     /** This node is about to tell a user that the job is cancelled. */
-    public synchronized void aborted(String id, double nowS) {
+    public synchronized void cancelled(String id, double nowS) {
         while (!aborts.isEmpty() && nowS - aborts.peekFirst().atS() > keepS) {
             aborts.pollFirst();
         }
@@ -67,13 +67,13 @@
 
     /** A peer has answered a question that was asked at {@code askedS}. */
     public synchronized void answered(String peer, double askedS, double nowS, PeerCodec.Answer a) {
-        Known k = known.get(peer);
+        PeerStatus k = known.get(peer);
         // Aborts are listed for keepS only, so a longer gap, like a new process or an overflow, starts anew.
         boolean goesOn = k != null && k.boot() == a.boot() && !a.overflow() && nowS - k.untilS() < keepS / 2;
         double peak = k == null ? 0 : k.reportsPeak() * Constants.REPORTS_PEAK_KEPT;
         known.put(
                 peer,
-                new Known(
+                new PeerStatus(
                         a.boot(),
                         goesOn ? k.sinceS() : askedS,
                         askedS,
@@ -91,7 +91,7 @@
     public synchronized double knownUntilS(double viewS, double nowS) {
         double until = nowS;
         for (String p : peers) {
-            Known k = known.get(p);
+            PeerStatus k = known.get(p);
             if (k == null || k.sinceS() > viewS) {
                 return viewS;
             }
@@ -103,7 +103,7 @@
     /** Whether every peer has answered a question that was asked since then. */
     public synchronized boolean allAnsweredSince(double sinceS) {
         for (String p : peers) {
-            Known k = known.get(p);
+            PeerStatus k = known.get(p);
             if (k == null || k.untilS() < sinceS) {
                 return false;
             }
@@ -130,13 +130,13 @@
         if (r == null || r.count() < Constants.REFUSALS_ENDED || nowS - r.lastS() > Constants.REFUSED_ANEW_S) {
             return false;
         }
-        Known it = known.get(peer);
+        PeerStatus it = known.get(peer);
         if (it != null && it.heardS() >= r.sinceS()) {
             return false;
         }
         int answered = 0;
         for (String p : peers) {
-            Known k = known.get(p);
+            PeerStatus k = known.get(p);
             if (!p.equals(peer) && k != null && k.heardS() >= r.sinceS()) {
                 answered++;
             }
@@ -146,7 +146,7 @@
 
     /** Whether this peer has answered lately. */
     public synchronized boolean heardLately(String peer, double nowS) {
-        Known k = known.get(peer);
+        PeerStatus k = known.get(peer);
         return k != null && nowS - k.heardS() < Constants.PEER_FRESH_S;
     }
 
@@ -162,7 +162,7 @@
 
     /** Whether some peer said lately that the state service serves it. */
     public synchronized boolean anyServed(double nowS) {
-        for (Known k : known.values()) {
+        for (PeerStatus k : known.values()) {
             if (k.served() && nowS - k.heardS() < Constants.PEER_FRESH_S) {
                 return true;
             }
@@ -173,7 +173,7 @@
     /** How many workers' reports have lately come to the peers. */
     public synchronized int reportsElsewhere(double nowS) {
         int n = 0;
-        for (Known k : known.values()) {
+        for (PeerStatus k : known.values()) {
             if (nowS - k.heardS() < Constants.PEER_FRESH_S) {
                 n += k.reports();
             }
@@ -183,7 +183,7 @@
 
     /** Whether next to no report comes to this peer any more, by its own word, while many did some seconds before. */
     public synchronized boolean reportsCeased(String peer, double nowS) {
-        Known k = known.get(peer);
+        PeerStatus k = known.get(peer);
         return heardLately(peer, nowS)
                 && k.reportsPeak() >= Constants.MISSED_LEAST
                 && k.reports() <= k.reportsPeak() * Constants.MISSED_HEARS;
@@ -192,7 +192,7 @@
     /** The highest leader's token that a peer knows of. */
     public synchronized long highestToken() {
         long t = 0;
-        for (Known k : known.values()) {
+        for (PeerStatus k : known.values()) {
             t = Math.max(t, k.token());
         }
         return t;
--- a/src/test/java/org/mountlug/core/ProofTest.java
+++ b/src/test/java/org/mountlug/core/ProofTest.java
@@ -35,24 +35,24 @@
         j.touch(0, true);
     }
 
-    private List<String> beat(long session, long seq, Report.Item... items) {
+    private List<String> sendReport(long session, long seq, Report.Item... items) {
         return Samples.verbs(c.report(report("n-1", "small", "a", session, seq, TOKEN, items), true, seq));
     }
 
     @Test
     void startLeavesOnlyOnceDurable() {
         place();
-        assertEquals(List.of(), beat(1, 2));
+        assertEquals(List.of(), sendReport(1, 2));
         Samples.persist(j);
-        assertEquals(List.of("START wk-000001/0#1"), beat(1, 3));
+        assertEquals(List.of("START wk-000001/0#1"), sendReport(1, 3));
     }
 
     @Test
     void startThatANewerReportLacksGoesOutAgainAndKeepsItsPlace() {
         place();
         Samples.persist(j);
-        beat(1, 2);
-        assertEquals(List.of("START wk-000001/0#1"), beat(1, 3));
+        sendReport(1, 2);
+        assertEquals(List.of("START wk-000001/0#1"), sendReport(1, 3));
         assertEquals(1, j.placed.size());
     }
 
@@ -60,9 +60,9 @@
     void aReportHeldBackOnItsWayProvesNothing() {
         place();
         Samples.persist(j);
-        beat(1, 5);
-        beat(1, 6, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
-        assertEquals(List.of(), beat(1, 4));
+        sendReport(1, 5);
+        sendReport(1, 6, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
+        assertEquals(List.of(), sendReport(1, 4));
         assertEquals(1, j.placed.size());
     }
 
@@ -104,7 +104,7 @@
     void anOvertakenReportCountsAsAnswered(long sequence, long session, boolean counts) {
         place();
         Samples.persist(j);
-        beat(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
+        sendReport(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
         c.carriedOut(
                 m,
                 report("n-1", "small", "a", 1, 6, TOKEN, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)),
@@ -135,8 +135,8 @@
     void aLaterSessionIsAProof() {
         place();
         Samples.persist(j);
-        beat(1, 2);
-        beat(2, 3);
+        sendReport(1, 2);
+        sendReport(2, 3);
         assertTrue(j.placed.isEmpty());
     }
 
@@ -174,27 +174,29 @@
     void forgetWaitsUntilTheOutcomeIsDurable() {
         place();
         Samples.persist(j);
-        beat(1, 2);
+        sendReport(1, 2);
         Report.Item done = item("wk-000001", 0, 1, TaskState.EXITED, Cause.DONE);
-        assertEquals(List.of(), beat(1, 3, done));
+        assertEquals(List.of(), sendReport(1, 3, done));
         assertTrue(j.done.get(0));
-        assertEquals(List.of(), beat(1, 4, done));
+        assertEquals(List.of(), sendReport(1, 4, done));
         Samples.persist(j);
-        assertEquals(List.of("FORGET wk-000001/0#1"), beat(1, 5, done));
+        assertEquals(List.of("FORGET wk-000001/0#1"), sendReport(1, 5, done));
     }
 
     @Test
     void abortStopsWhatWasSentAndDropsWhatWasNot() {
         place();
         Samples.persist(j);
-        beat(1, 2);
+        sendReport(1, 2);
         c.place(j, 1, ++j.attempts, m, 2);
         j.touch(2, true);
         c.cancelled(j, 3);
         assertEquals(1, j.placed.size());
-        assertEquals(List.of("STOP wk-000001/0#1"), beat(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(
+                List.of("STOP wk-000001/0#1"),
+                sendReport(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
         assertFalse(j.over());
-        beat(1, 4, item("wk-000001", 0, 1, TaskState.EXITED, Cause.STOPPED));
+        sendReport(1, 4, item("wk-000001", 0, 1, TaskState.EXITED, Cause.STOPPED));
         assertTrue(j.over());
     }
 
@@ -205,12 +207,14 @@
         c.place(big, 0, ++big.attempts, m, 0);
         big.touch(0, true);
         Samples.persist(big);
-        beat(1, 2);
+        sendReport(1, 2);
         c.place(big, 1, ++big.attempts, m, 2).standby = true;
         big.touch(2, true);
         Samples.persist(big);
-        assertEquals(List.of(), beat(1, 3, item("wk-000002", 0, 1, TaskState.RUNNING, Cause.NONE)));
-        assertEquals(List.of("START wk-000002/1#2"), beat(1, 4, item("wk-000002", 0, 1, TaskState.EXITED, Cause.DONE)));
+        assertEquals(List.of(), sendReport(1, 3, item("wk-000002", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(
+                List.of("START wk-000002/1#2"),
+                sendReport(1, 4, item("wk-000002", 0, 1, TaskState.EXITED, Cause.DONE)));
     }
 
     @Test
@@ -237,23 +241,25 @@
         j.done.set(1);
         place();
         Samples.persist(j);
-        beat(1, 2);
+        sendReport(1, 2);
         c.cancelled(j, 3);
-        beat(1, 3, item("wk-000001", 0, 1, TaskState.EXITED, Cause.DONE));
+        sendReport(1, 3, item("wk-000001", 0, 1, TaskState.EXITED, Cause.DONE));
         assertTrue(j.complete() && j.over());
         assertFalse(j.endsAsDone());
     }
 
     @Test
     void whatNoRecordPlacesHereIsStoppedAndBlocksTheMachine() {
-        assertEquals(List.of("STOP wk-000009/3#4"), beat(1, 2, item("wk-000009", 3, 4, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(
+                List.of("STOP wk-000009/3#4"),
+                sendReport(1, 2, item("wk-000009", 3, 4, TaskState.RUNNING, Cause.NONE)));
         assertFalse(m.empty());
     }
 
     @Test
     void aReturnedMachineDoesNotComeBackByALateReportOrTheLaggingList() {
         c.machineGone("n-1", 5, "returned");
-        beat(1, 9);
+        sendReport(1, 9);
         c.listed(List.of(new Listed("n-1", "x", "small", "a", false, Listed.Status.RUNNING, 9)), 10, 6);
         assertTrue(c.machines.isEmpty());
     }
@@ -283,13 +289,13 @@
     void aMachineThatMayNotHearGetsNoWorkUntilItStays(String sign) {
         assertTrue(m.usable());
         switch (sign) {
-            case "risen session" -> beat(2, 2);
+            case "risen session" -> sendReport(2, 2);
             case "lease ran out" -> c.expireLeases(20);
             default -> {
                 place();
                 Samples.persist(j);
                 for (int seq = 2; seq <= 4; seq++) {
-                    beat(1, seq);
+                    sendReport(1, seq);
                 }
                 assertTrue(j.placed.isEmpty(), "a start ignored twice never ran");
             }
@@ -313,12 +319,12 @@
         Samples.persist(g);
         assertEquals(List.of("START wk-000003/0#1"), Samples.verbs(c.urgent(m, true, false, 1)));
         c.cancelled(g, 2);
-        beat(1, 2);
-        beat(1, 3);
+        sendReport(1, 2);
+        sendReport(1, 3);
         assertEquals(1, g.placed.size(), "it may come yet");
         assertFalse(c.unanswerable("n-1", 3));
         assertTrue(c.unanswerable("n-1", 7), "only without a lease does it become impossible");
-        beat(2, 4);
+        sendReport(2, 4);
         assertTrue(g.placed.isEmpty());
     }
 
@@ -330,9 +336,9 @@
         Samples.persist(g);
         c.urgent(m, true, false, 1);
         Report.Item done = item("wk-000003", 0, 1, TaskState.EXITED, Cause.DONE);
-        beat(1, 2, done);
+        sendReport(1, 2, done);
         Samples.persist(g);
-        assertEquals(List.of(), beat(1, 3, done));
+        assertEquals(List.of(), sendReport(1, 3, done));
         assertFalse(c.unanswerable("n-1", 60));
     }
 
@@ -350,7 +356,7 @@
         } else {
             c.refused(m, 1, o);
         }
-        assertEquals(carriedOut ? List.of() : List.of("START wk-000003/0#1"), beat(1, 7));
+        assertEquals(carriedOut ? List.of() : List.of("START wk-000003/0#1"), sendReport(1, 7));
         assertEquals(1, g.placed.size());
         assertEquals(List.of(), c.urgent(m, true, false, 2), "refused once, it goes out in answers only");
     }
@@ -359,21 +365,23 @@
     void aStopGoesStraightOnceAndThenWithAnswers() {
         place();
         Samples.persist(j);
-        beat(1, 2);
-        beat(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
+        sendReport(1, 2);
+        sendReport(1, 3, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE));
         c.cancelled(j, 3);
         List<Order> o = c.urgent(m, true, false, 3);
         assertEquals(List.of("STOP wk-000001/0#1"), Samples.verbs(o));
         c.refused(m, 1, o);
         assertEquals(List.of(), c.urgent(m, true, false, 4));
-        assertEquals(List.of("STOP wk-000001/0#1"), beat(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
+        assertEquals(
+                List.of("STOP wk-000001/0#1"),
+                sendReport(1, 4, item("wk-000001", 0, 1, TaskState.RUNNING, Cause.NONE)));
     }
 
     private void fail(Job job, int task, long seq) {
         c.place(job, task, ++job.attempts, m, seq);
         job.touch(seq, true);
         Samples.persist(job);
-        beat(1, seq);
-        beat(1, seq + 1, item(job.spec.id(), task, job.attempts, TaskState.EXITED, Cause.ERROR));
+        sendReport(1, seq);
+        sendReport(1, seq + 1, item(job.spec.id(), task, job.attempts, TaskState.EXITED, Cause.ERROR));
     }
 }
--- a/src/test/java/org/mountlug/node/InjectedFault.java
+++ b/src/test/java/org/mountlug/node/InjectedFault.java
@@ -511,7 +511,7 @@
         return () -> {
             for (SimulatedCluster.Node node : world.nodes) {
                 if (node.up && node.frozenUntil <= world.now) {
-                    old.forEach(node.controller::beat);
+                    old.forEach(node.controller::handleReport);
                 }
             }
         };
--- a/src/test/java/org/mountlug/node/LiveRecordsTest.java
+++ b/src/test/java/org/mountlug/node/LiveRecordsTest.java
@@ -107,13 +107,13 @@
                 Map.of());
         for (int i = 0; i < answers.size(); i++) {
             if (noticeAfter == i) {
-                records.abortTold("wk-000001");
+                records.cancellationNoticed("wk-000001");
             }
             assertEquals(Double.NEGATIVE_INFINITY, records.knownUntilS(), "nothing is known while records are read");
             answer(1, i == 3 ? 404 : 200, answers.get(i));
         }
         if (noticeAfter == answers.size()) {
-            records.abortTold("wk-000001");
+            records.cancellationNoticed("wk-000001");
         }
     }
 
@@ -127,7 +127,7 @@
     @Test
     void aNoticeOfAJobThatIsNotKnownYetWaitsForItsRecord() {
         load(-1);
-        records.abortTold("wk-000002");
+        records.cancellationNoticed("wk-000002");
         assertEquals(List.of(), cancelled);
         Map<String, Object> r = row("wk-000002");
         answer(
@@ -148,7 +148,7 @@
             now -= 1; // the last answer of the loading and the opening of the watch are one moment
         }
         for (int i = 0; i < 50; i++) {
-            records.abortTold("wk-000077");
+            records.cancellationNoticed("wk-000077");
         }
         assertEquals(1, records.noticesKept());
         answer(3, 200, Map.of("epoch", 20L, "news", List.of()));
--- a/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
+++ b/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
@@ -611,7 +611,7 @@
             for (SimulatedCluster.Node x : w.nodes) {
                 for (Report r : kept) {
                     if (x.up) {
-                        x.controller.beat(r);
+                        x.controller.handleReport(r);
                         copies[0]++;
                     }
                 }
--- a/src/test/java/org/mountlug/node/SimulatedCluster.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -940,7 +940,7 @@
         Worker w = new Worker(String.format("n-%06d", ++rented), zone);
         workers.put(w.name, w);
         if (neverBootsEvery == 0 || rented % neverBootsEvery > 0) {
-            in(w.bootsInS, w::beat);
+            in(w.bootsInS, w::sendReport);
             in(w.bootsInS, w::live);
             w.boots = true;
         }
@@ -1094,13 +1094,13 @@
             return new Report(name, name, "small", zone, false, session, ++sequence, token, Double.NaN, items);
         }
 
-        void beat() {
+        void sendReport() {
             if (gone) {
                 return;
             }
             if (hangsUntil > now) {
                 // On waking, the lease is looked at before anything is said.
-                in(hangsUntil - now + 0.001, this::beat);
+                in(hangsUntil - now + 0.001, this::sendReport);
                 return;
             }
             Node n = nodes.get(at);
@@ -1117,13 +1117,13 @@
                     // It waits in the socket and is read on waking, when nobody waits for the answer any more.
                     in(n.frozenUntil - now, () -> {
                         if (n.up) {
-                            n.controller.beat(r);
+                            n.controller.handleReport(r);
                         }
                     });
                     in(5, () -> elsewhere(0));
                     return;
                 }
-                Controller.Beat b = n.up ? n.controller.beat(r) : null;
+                Controller.ReportAnswer b = n.up ? n.controller.handleReport(r) : null;
                 if (deaf) {
                     in(5, () -> elsewhere(0));
                 } else {
@@ -1134,10 +1134,10 @@
 
         private void elsewhere(double s) {
             at = (at + 1) % nodes.size();
-            in(s, this::beat);
+            in(s, this::sendReport);
         }
 
-        private void heard(Controller.Beat b, double sentAt, long inSession) {
+        private void heard(Controller.ReportAnswer b, double sentAt, long inSession) {
             if (gone) {
                 return;
             }
@@ -1145,7 +1145,7 @@
                 in(hangsUntil - now + 0.001, () -> heard(now - sentAt > 4 ? null : b, sentAt, inSession));
                 return;
             }
-            if (b instanceof Controller.Beat.Orders o) {
+            if (b instanceof Controller.ReportAnswer.Orders o) {
                 if (inSession == session && o.token() >= token) {
                     token = o.token();
                     leaseFrom = Math.max(leaseFrom, sentAt);
@@ -1153,8 +1153,8 @@
                         carryOut(x);
                     }
                 }
-                in(o.orders().isEmpty() ? 2 : 0.5, this::beat);
-            } else if (b instanceof Controller.Beat.Elsewhere e
+                in(o.orders().isEmpty() ? 2 : 0.5, this::sendReport);
+            } else if (b instanceof Controller.ReportAnswer.Elsewhere e
                     && e.leader() != null
                     && !e.leader().equals(nodes.get(at).label)) {
                 for (int i = 0; i < nodes.size(); i++) {
@@ -1162,7 +1162,7 @@
                         at = i;
                     }
                 }
-                in(0.2, this::beat);
+                in(0.2, this::sendReport);
             } else {
                 elsewhere(1);
             }
--- a/src/test/java/org/mountlug/node/SingleFaultsTest.java
+++ b/src/test/java/org/mountlug/node/SingleFaultsTest.java
@@ -261,7 +261,7 @@
             w.in(lateS, () -> {
                 for (SimulatedCluster.Node n : w.nodes) {
                     if (n.up) {
-                        n.controller.beat(r);
+                        n.controller.handleReport(r);
                     }
                 }
             });
@@ -272,7 +272,7 @@
         assertTrue(w.workers.size() <= 2, "idle machines are returned in spite of the copies");
         for (Report r : copies) {
             for (SimulatedCluster.Node n : w.nodes) {
-                n.controller.beat(r);
+                n.controller.handleReport(r);
             }
         }
         w.run(30);
@@ -523,7 +523,8 @@
             w.now = old.frozenUntil;
             for (SimulatedCluster.Worker k : w.workers.values()) {
                 assertFalse(
-                        old.controller.beat(k.report()) instanceof Controller.Beat.Orders, "no answer on old belief");
+                        old.controller.handleReport(k.report()) instanceof Controller.ReportAnswer.Orders,
+                        "no answer on old belief");
             }
         }
         w.run(40);
--- a/src/test/java/org/mountlug/peer/PeerTest.java
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -147,17 +147,17 @@
     @Test
     void aCancellationToldAgainIsListedOnce() {
         for (int t = 5; t < 20; t++) {
-            v.aborted("wk-000001", t);
+            v.cancelled("wk-000001", t);
         }
         assertEquals(List.of("wk-000001"), v.aborts(24));
         assertTrue(v.aborts(26).isEmpty());
-        v.aborted("wk-000001", 27);
+        v.cancelled("wk-000001", 27);
         assertEquals(List.of("wk-000001"), v.aborts(28));
     }
 
     @Test
     void abortsAreToldForAWhile() {
-        v.aborted("wk-000001", 5);
+        v.cancelled("wk-000001", 5);
         assertEquals(List.of("wk-000001"), v.aborts(24));
         assertTrue(v.aborts(26).isEmpty());
         assertFalse(v.anyServed(5));
