--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -278,6 +278,15 @@
     /** Seconds for which nothing more is ordered of a kind of which most orders are overdue. */
     public static final double OVERDUE_AVOIDED_S = 20;
 
+    /** Seconds assumed of the boot of a machine whose type is not known. */
+    public static final double UNKNOWN_BOOT_S = 60;
+
+    /** Seconds of work for which a machine is reckoned to be rented, at the least. */
+    public static final double BUSY_LEAST_S = 30;
+
+    /** More of anything than all machines together have: what a team without a limit may use. */
+    public static final double UNLIMITED = 1e12;
+
     /** Seconds beyond the lease after which a silent machine is returned. */
     public static final double SILENT_RELEASE_S = 6.0;
     /** More seconds for which machines of a zone that is silent as a whole are kept: a cut ends, a boot is paid for. */
--- /dev/null
+++ b/src/main/java/org/mountlug/core/scale/RentalPlanner.java
@@ -0,0 +1,271 @@
+package org.mountlug.core.scale;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mountlug.Constants;
+import org.mountlug.core.cluster.Cluster;
+import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.model.Aims;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.JobSpec;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
+
+/**
+ * Decides which machines to rent. Queued work is laid, as a fluid, over the machines there are and those that boot; what
+ * does not fit within a part of its slack is worth a new machine of the kind that serves it most cheaply.
+ */
+final class RentalPlanner {
+    private final Cluster cluster;
+    private final Aims aims;
+    private final double leaseS;
+    private final double spotRisk;
+    private final BootHistory boots;
+    private final ZoneSilence zones;
+    private final ServiceDemand services;
+    private final Map<MachineKind, Double> exhausted = new HashMap<>();
+    /** Kinds that were refused and of which nothing was asked in vain since. */
+    private final Set<MachineKind> knownExhausted = new HashSet<>();
+
+    private long counter;
+
+    RentalPlanner(
+            Cluster cluster,
+            Aims aims,
+            double leaseS,
+            double spotRisk,
+            BootHistory boots,
+            ZoneSilence zones,
+            ServiceDemand services) {
+        this.cluster = cluster;
+        this.aims = aims;
+        this.leaseS = leaseS;
+        this.spotRisk = spotRisk;
+        this.boots = boots;
+        this.zones = zones;
+        this.services = services;
+    }
+
+    /** The cloud has no more machines of this kind for now; tells whether that is news. */
+    boolean refused(Rental rental, double nowS) {
+        exhausted.put(rental.kind(), nowS + Constants.NO_CAPACITY_S);
+        return knownExhausted.add(rental.kind());
+    }
+
+    /** The cloud has rented all that was asked of this kind; tells whether that is news. */
+    boolean served(Rental rental) {
+        return knownExhausted.remove(rental.kind());
+    }
+
+    /** What to rent now. */
+    List<Rental> rentals(double nowS, double nowEpochS) {
+        boots.observe(nowS);
+        Set<String> silentZones = zones.silentZones(nowS);
+        RentalPlan plan = new RentalPlan(cluster, boots, spotRisk, silentZones, exhausted, nowS);
+        plan.counts(countedOn(silentZones, nowS));
+        Map<String, Resources> usage = cluster.usage();
+        cluster.overflowing.clear();
+        boolean headroomKept = false;
+        for (Job job : waiting()) {
+            if (!job.spec.service() && !headroomKept) {
+                keepHeadroom(plan, nowEpochS); // ahead of work that ends
+                headroomKept = true;
+            }
+            int wanted = withinLimit(job, wanted(job, nowS), usage);
+            if (wanted > 0) {
+                plan(plan, job, wanted, nowEpochS);
+            }
+        }
+        if (!headroomKept) {
+            keepHeadroom(plan, nowEpochS);
+        }
+        return requests(plan.orders());
+    }
+
+    /** The machines on which queued work may count, with what they have to do already. */
+    private List<PlannedMachine> countedOn(Set<String> silentZones, double nowS) {
+        List<PlannedMachine> counted = new ArrayList<>();
+        for (Machine machine : cluster.machines.values()) {
+            double readyInS = readyInS(machine, silentZones, nowS);
+            if (Double.isNaN(readyInS)) {
+                continue;
+            }
+            PlannedMachine planned = new PlannedMachine(
+                    machine.type,
+                    machine.zone,
+                    machine.spot,
+                    readyInS,
+                    machine.type.size().minus(machine.services()));
+            for (Placement placement : machine.placed.values()) {
+                if (!placement.job.spec.service()) {
+                    double ranS = Double.isNaN(placement.runningS) ? 0 : nowS - placement.runningS;
+                    double leftS = Math.max(2, cluster.expectedS(placement.job) - ranS);
+                    planned.addLoad(leftS, placement.job.spec.need());
+                }
+            }
+            counted.add(planned);
+        }
+        return counted;
+    }
+
+    /** Seconds until a machine can take work, NaN if it is not to be counted on. */
+    private double readyInS(Machine machine, Set<String> silentZones, double nowS) {
+        if (machine.type == null || machine.releasing || machine.sick || !Double.isNaN(machine.takenS)) {
+            return Double.NaN;
+        }
+        if (machine.cameUp() && cluster.silentS(machine, nowS) > leaseS) {
+            // One that the cloud still lists is likely cut off, and back before a new one is up.
+            boolean lost = machine.unlisted || Double.isNaN(machine.listedS) || silentZones.contains(machine.zone);
+            return lost ? Double.NaN : machine.type.bootS();
+        }
+        if (machine.up && machine.deaf) {
+            // After an outage or a cut a whole zone has lost its leases and is deaf until its next two reports: rented
+            // for at once, it would be there twice.
+            return cluster.unheardS(machine, nowS) > leaseS ? Double.NaN : Constants.HEARS_AGAIN_S;
+        }
+        if (machine.up) {
+            return 0;
+        }
+        // What is overdue may come yet, and is used or returned then; the work that waits for it is not left to it.
+        if (!machine.cameUp() && machine.placed.isEmpty() && boots.overdue(machine, nowS)) {
+            return Double.NaN;
+        }
+        return Math.max(1, machine.rentedS + boots.bootS(machine, nowS) - nowS);
+    }
+
+    /** Jobs with tasks that need a machine, the most urgent first. */
+    private List<Job> waiting() {
+        List<Job> jobs = new ArrayList<>();
+        for (Job job : cluster.jobs.values()) {
+            if (!job.cancelled && unplaced(job) > 0 && !cluster.reservations.containsKey(job.spec.id())) {
+                jobs.add(job);
+            }
+        }
+        jobs.sort(Comparator.comparing((Job job) -> job.spec.urgency())
+                .reversed()
+                .thenComparingDouble(job -> aims.dueEpochS(job.spec, cluster.expectedS(job))));
+        return jobs;
+    }
+
+    /** Tasks that need a machine: those without one, and replicas whose machine is about to go. */
+    private static int unplaced(Job job) {
+        int unplaced = job.open();
+        if (job.spec.service()) {
+            for (Placement placement : job.placed.values()) {
+                unplaced += placement.leaving ? 1 : 0;
+            }
+        }
+        return unplaced;
+    }
+
+    private int wanted(Job job, double nowS) {
+        return job.failureHistory.suspected() ? wantedForRetry(job, nowS) : unplaced(job);
+    }
+
+    /**
+     * Tasks of a job suspected of failing everywhere that need a machine: none while it waits for its next try, or while
+     * machines are there that could hold that try, busy or not, as nothing is worth renting for it.
+     */
+    private int wantedForRetry(Job job, double nowS) {
+        int needed = job.spec.gang() || job.spec.service() ? unplaced(job) : 1;
+        if (nowS < job.pausedUntilS || !job.spec.service() && !job.placed.isEmpty()) {
+            return 0;
+        }
+        int slots = 0;
+        for (Machine machine : cluster.machines.values()) {
+            if (machine.type != null
+                    && !machine.releasing
+                    && !machine.sick
+                    && job.spec.allows(machine.type.name(), machine.zone, machine.spot)) {
+                slots += job.spec.need().countIn(machine.type.size());
+            }
+        }
+        return slots >= needed ? 0 : needed;
+    }
+
+    /** How many of the wanted tasks the team's limit allows; counts them as used. */
+    private int withinLimit(Job job, int wanted, Map<String, Resources> usage) {
+        JobSpec spec = job.spec;
+        Team team = cluster.team(spec.team());
+        if (team == null || wanted <= 0) {
+            return wanted;
+        }
+        Resources used = usage.getOrDefault(spec.team(), Resources.ZERO);
+        double cpus = team.cpusMax() > 0 ? team.cpusMax() - used.cpus() : Constants.UNLIMITED;
+        double gpus = team.gpusMax() > 0 ? team.gpusMax() - used.gpus() : Constants.UNLIMITED;
+        int allowed = Math.min(wanted, spec.need().countIn(new Resources(cpus, gpus, Constants.UNLIMITED)));
+        if (allowed > 0) {
+            Resources more =
+                    new Resources(spec.need().cpus() * allowed, spec.need().gpus() * allowed, 0);
+            usage.merge(spec.team(), more, Resources::plus);
+        }
+        return allowed;
+    }
+
+    private void plan(RentalPlan plan, Job job, int wanted, double nowEpochS) {
+        JobSpec spec = job.spec;
+        if (spec.service()) {
+            plan.replicas(spec, wanted, job);
+            return;
+        }
+        double expectedS = cluster.expectedS(job);
+        double horizonS = horizonS(job, nowEpochS);
+        boolean plain = spec.need().gpus() == 0;
+        int left = wanted - plan.assign(spec, expectedS, horizonS, wanted, plain);
+        left -= plan.rent(spec, expectedS, horizonS, left, plain);
+        if (left <= 0 || !plain) {
+            return;
+        }
+        // Every cheap kind is exhausted: what can wait waits, the rest is worth an accelerator machine.
+        double patienceS = Math.max(horizonS, slackS(job, nowEpochS) * Constants.OVERFLOW_SHARE);
+        left -= plan.assign(spec, expectedS, patienceS, left, true);
+        if (left <= 0) {
+            return;
+        }
+        cluster.overflowing.add(spec.id());
+        left -= plan.assign(spec, expectedS, patienceS, left, false);
+        plan.rent(spec, expectedS, patienceS, left, false);
+    }
+
+    /** Seconds left until the job's tasks must start for it to be done when due. */
+    private double slackS(Job job, double nowEpochS) {
+        double expectedS = job.spec.service() ? 0 : cluster.expectedS(job);
+        return aims.dueEpochS(job.spec, expectedS) - nowEpochS - expectedS;
+    }
+
+    /** Seconds that a job's tasks may wait for machines that exist already. */
+    private double horizonS(Job job, double nowEpochS) {
+        double slackS = slackS(job, nowEpochS);
+        return Math.min(Constants.HORIZON_MAX_S, Math.max(Constants.HORIZON_MIN_S, slackS * Constants.HORIZON_SHARE));
+    }
+
+    /**
+     * Room for services that are yet to come, which cannot wait for a boot: as much as was lately asked for in the time
+     * that one takes. Work that ends may use it meanwhile; a service takes its place.
+     */
+    private void keepHeadroom(RentalPlan plan, double nowEpochS) {
+        services.expectedReplicas(nowEpochS).forEach((spec, replicas) -> plan.replicas(spec, replicas, null));
+    }
+
+    /** The orders as requests, each within what one may name; the first of every kind before any second. */
+    private List<Rental> requests(Map<MachineKind, Integer> orders) {
+        List<Rental> requests = new ArrayList<>();
+        for (int call = 0; call < Constants.RENT_CALLS_A_KIND; call++) {
+            for (Map.Entry<MachineKind, Integer> order : orders.entrySet()) {
+                int count = Math.min(Constants.RENT_MAX, order.getValue() - call * Constants.RENT_MAX);
+                if (count > 0) {
+                    MachineKind kind = order.getKey();
+                    String name = "h-" + cluster.token() + "-" + ++counter;
+                    requests.add(new Rental(name, kind.type(), kind.zone(), kind.spot(), count));
+                }
+            }
+        }
+        return requests;
+    }
+}
