--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -65,6 +65,18 @@
     public static final double REFUSED_CHANGE_PAUSE_S = 0.5;
     /** Seconds for which a job whose change was refused for good is not written, so that the others are. */
     public static final double REFUSED_CHANGE_S = 15;
+    /** Seconds before a change is sent again that was not served. */
+    public static final double UNSERVED_CHANGE_S = 0.4;
+
+    /** Seconds before a change is sent again, unchanged, that got no answer. */
+    public static final double UNANSWERED_CHANGE_S = 0.3;
+
+    /** Milliseconds between two tries to read back what a change met. */
+    public static final int READ_BACK_RETRY_MS = 300;
+
+    /** Bytes of a write beside its value, reckoned high: the key and the signs round it. */
+    public static final int RECORD_KEY_BYTES = 200;
+
     /** Bytes of one transaction; the protocol allows 64 KiB with conditions and keys. */
     public static final int TXN_BYTES = 48 * 1024;
     /** Compare-and-set tries of one abort before the user is told to come back. */
@@ -246,6 +258,17 @@
     public static final int CLOUD_CONNECTIONS = 3;
     /** Milliseconds a cloud call may take. */
     public static final int CLOUD_TIMEOUT_MS = 4000;
+    /** Seconds before the catalogue is asked for again that was not to be had. */
+    public static final double CATALOGUE_RETRY_S = 3;
+
+    /** Milliseconds before rentals go on that wait for the cloud's budget. */
+    public static final int RENT_BUDGET_MS = 250;
+
+    /** Times that a rental without an answer is sent again under its name, and milliseconds between. */
+    public static final int RENT_TRIES = 3;
+
+    public static final int RENT_RETRY_MS = 500;
+
     /** Share of the cloud's calls that rentals may use; lists, returns and the catalogue need the rest. */
     public static final double RENT_CALL_SHARE = 0.6;
     /** Seconds without rentals after the cloud's interface was in trouble. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -7,10 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
 import org.mountlug.Constants;
 import org.mountlug.cloud.CloudCodec;
 import org.mountlug.core.lead.Election;
@@ -21,7 +18,6 @@
 import org.mountlug.peer.PeerCodec;
 import org.mountlug.peer.PeerView;
 import org.mountlug.peer.Peers;
-import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
 import org.mountlug.store.Change;
 import org.mountlug.store.RecordCodec;
@@ -39,8 +35,8 @@
 public final class Controller {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
+    private final Environment environment;
     private final Settings settings;
-    private final Operators operators;
     private final Election election;
     private final FinalStates finals = new FinalStates();
     private final Metrics metrics = new Metrics();
@@ -48,10 +44,7 @@
     private final SplittableRandom random;
     private final StateClient state;
     private final Calls cloud;
-    private final Function<String, Calls> workers;
     private final DoubleSupplier clockS;
-    private final LongSupplier epochMs;
-    private final BiConsumer<Runnable, Integer> timer;
     private Leader leader;
     private volatile Map<String, MachineType> types = Map.of();
     private boolean fetchingTypes;
@@ -84,27 +77,13 @@
     /** Whether nothing since the last waking has shown that we still lead. */
     private boolean doubtful;
 
-    /**
-     * @param timer runs something after so many milliseconds, on the thread that everything else of this node runs on
-     */
-    public Controller(
-            Settings settings,
-            Operators operators,
-            StateClient state,
-            Calls cloud,
-            Function<String, Calls> workers,
-            DoubleSupplier clockS,
-            LongSupplier epochMs,
-            BiConsumer<Runnable, Integer> timer,
-            SplittableRandom random) {
-        this.settings = settings;
-        this.operators = operators;
-        this.state = state;
-        this.cloud = cloud;
-        this.workers = workers;
-        this.clockS = clockS;
-        this.epochMs = epochMs;
-        this.timer = timer;
+    /** A controller that has just started; {@code random} seeds its identity and its delays. */
+    public Controller(Environment environment, SplittableRandom random) {
+        this.environment = environment;
+        this.settings = environment.settings();
+        this.state = environment.state();
+        this.cloud = environment.cloud();
+        this.clockS = environment.clockS();
         this.random = random;
         this.boot = random.nextLong();
         this.startedS = clockS.getAsDouble();
@@ -127,7 +106,7 @@
     }
 
     private void after(Runnable r, int ms) {
-        timer.accept(r, ms);
+        environment.timer().accept(r, ms);
     }
 
     /** To be called about ten times a second. */
@@ -335,20 +314,7 @@
         }
         if (leader == null && election.leading()) {
             LOG.info("elected with token {}", election.token());
-            leader = new Leader(
-                    settings,
-                    operators,
-                    election,
-                    state,
-                    cloud,
-                    workers,
-                    clockS,
-                    epochMs,
-                    this::after,
-                    aims,
-                    types.values(),
-                    finals,
-                    metrics);
+            leader = new Leader(environment, election, aims, types.values(), finals, metrics);
             metrics.leading(true);
         }
     }
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -70,7 +70,7 @@
                 Daemon::clockS,
                 settings.stateRps(),
                 settings.others().size() + 1);
-        node = new Controller(
+        Environment environment = new Environment(
                 settings,
                 operators,
                 state,
@@ -78,8 +78,8 @@
                 address -> new Http(io, pool, address, 1, false),
                 Daemon::clockS,
                 System::currentTimeMillis,
-                this::after,
-                new SplittableRandom());
+                this::after);
+        node = new Controller(environment, new SplittableRandom());
         int colon = settings.listen().lastIndexOf(':');
         server = Undertow.builder()
                 .setWorker(worker)
--- a/src/test/java/org/mountlug/node/SimulatedCluster.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -508,7 +508,7 @@
             Calls plain = state.calls(this, () -> inside ? StateStandIn.Link.SILENT : link);
             Calls st = alive(mine, old ? asProduction(plain) : plain);
             StateClient client = new StateClient(st, st, () -> now, 200, count);
-            controller = new Controller(
+            Environment environment = new Environment(
                     s,
                     Operators.defaults(),
                     client,
@@ -522,8 +522,8 @@
                                 if (process == mine) {
                                     r.run();
                                 }
-                            })),
-                    new SplittableRandom(label.hashCode() * 31L + process));
+                            })));
+            controller = new Controller(environment, new SplittableRandom(label.hashCode() * 31L + process));
             users = new Users(controller, client, s, () -> (long) (now * 1000));
             up = true;
             Runnable[] tick = new Runnable[1];
