--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -1,6 +1,5 @@
 package org.mountlug.core.cluster;
 
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
@@ -12,7 +11,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.mountlug.Constants;
-import org.mountlug.core.model.Cause;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.MachineType;
@@ -21,9 +19,7 @@
 import org.mountlug.core.model.Report;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.core.model.Resources;
-import org.mountlug.core.model.TaskState;
 import org.mountlug.core.model.Team;
-import org.mountlug.core.model.Urgency;
 import org.mountlug.core.scale.Listed;
 
 /**
@@ -53,15 +49,15 @@
         }
     };
 
+    private final ReportHandler reports;
+    private final CommandHandler commands;
     private final Outcomes outcomes = new Outcomes();
     private final FailureBlame blame = new FailureBlame(name -> machines.get(name), this::event);
     /** Machines that were condemned and are still there, as of the last round. */
     private int condemned;
-    /** By class: the neediest accelerator job seen in this term. */
-    private final Map<String, JobSpec> acceleratorNeeds = new HashMap<>();
 
-    private boolean parts;
-    private double recordChars = 8 * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
+    private final AcceleratorNeeds acceleratorNeeds = new AcceleratorNeeds();
+    private final RecordRoom recordRoom = new RecordRoom();
     private final Map<String, List<String>> expected = new HashMap<>();
     private EventSummary events = new EventSummary();
     private long lostTasks;
@@ -85,6 +81,8 @@
     public Cluster(long token, double leaseS, Collection<Team> teams) {
         this.token = token;
         this.leaseS = leaseS;
+        this.reports = new ReportHandler(this, leaseS);
+        this.commands = new CommandHandler(this, reports);
         for (Team t : teams) {
             this.teams.put(t.name(), t);
         }
@@ -115,65 +113,26 @@
 
     /** Tells how many KiB a record may have while no parts may be written. */
     public void valueLimit(double kib) {
-        recordChars = kib * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
+        recordRoom.valueLimit(kib);
     }
 
     /** From now on what does not fit into a record goes into parts, so that records hold nobody back. */
     public void partsAllowed() {
-        parts = true;
+        recordRoom.partsAllowed();
     }
 
     /** Characters of the longest name of a machine. */
     public int longestName() {
-        int n = Constants.RECORD_MACHINE_NAME;
+        int longest = Constants.RECORD_MACHINE_NAME;
         for (Machine m : machines.values()) {
-            n = Math.max(n, m.name.length());
+            longest = Math.max(longest, m.name.length());
         }
-        return n;
+        return longest;
     }
 
-    /**
-     * How many more tasks of a job may be placed so that its record surely stays within the value limit, however the
-     * tasks that are placed now end: of a run of tasks every second one may stay, each then written by itself, and each
-     * new task may need a machine of its own.
-     */
+    /** How many more tasks of a job may be placed so that its record surely stays within the value limit. */
     public int recordRoom(Job j) {
-        if (parts) {
-            return Integer.MAX_VALUE;
-        }
-        int digits = Integer.toString(j.spec.tasks()).length();
-        int task = digits + Long.toString(j.attempts + 1).length() + 2;
-        double used =
-                j.spec.lane().length() + j.spec.team().length() + j.spec.image().length();
-        if (j.spec.types() != null) {
-            for (String t : j.spec.types()) {
-                used += t.length() + 3;
-            }
-        }
-        Object2ObjectOpenHashMap<String, Placement> last = new Object2ObjectOpenHashMap<>();
-        Object2IntOpenHashMap<String> run = new Object2IntOpenHashMap<>();
-        for (Placement p : j.placed.values()) {
-            Placement before = last.put(p.machine, p);
-            if (before == null) {
-                used += p.machine.length() + Constants.RECORD_MACHINE_CHARS;
-            }
-            boolean goesOn = before != null && before.task == p.task - 1 && before.attempt == p.attempt;
-            int n = goesOn ? run.getInt(p.machine) + 1 : 1;
-            run.put(p.machine, n);
-            // A run of two takes as much as two single ones; of more, at the worst every second one is left.
-            if (n <= 2 || n % 2 == 1) {
-                used += task;
-            }
-        }
-        // Done ranges lie between open or placed tasks; a bit a task is the other way to write them.
-        double bits = j.spec.tasks() / 6.0 + 8;
-        int range = 2 * digits + 2;
-        double done = Math.min(bits, range * (j.placed.size() + 1.0));
-        double each = task + Constants.RECORD_MACHINE_NAME + Constants.RECORD_MACHINE_CHARS;
-        if (bits > range * (j.placed.size() + 1.0)) {
-            each += range;
-        }
-        return (int) Math.max(0, Math.floor((recordChars - used - done) / each));
+        return recordRoom.of(j);
     }
 
     /** The fencing token of this term. */
@@ -269,47 +228,14 @@
         return j.spec.service() ? Double.POSITIVE_INFINITY : outcomes.expectedS(j);
     }
 
-    /** The same without preference: what the neediest accelerator work of any priority needs when it fills the type. */
+    /** What accelerator work of any priority needs of this type beside the accelerators when it fills it. */
     public Resources acceleratorShareOfAll(MachineType t) {
-        Resources r = Resources.ZERO;
-        if (t.size().gpus() <= 0) {
-            return r;
-        }
-        for (JobSpec s : acceleratorNeeds.values()) {
-            Resources n = s.need();
-            if (!n.fitsIn(t.size())) {
-                continue;
-            }
-            double k = n.countIn(t.size());
-            r = new Resources(Math.max(r.cpus(), n.cpus() * k), 0, Math.max(r.ramGb(), n.ramGb() * k));
-        }
-        return r;
+        return acceleratorNeeds.shareOfAll(t);
     }
 
-    /**
-     * What accelerator work needs of this type beside the accelerators when it fills it, of the neediest class that may
-     * take the place of another. Where none may, what runs beside is in nobody's way.
-     */
+    /** What accelerator work that may take the place of other work needs of this type when it fills it. */
     public Resources acceleratorShare(MachineType t) {
-        Resources r = Resources.ZERO;
-        if (t.size().gpus() <= 0) {
-            return r;
-        }
-        Urgency least = Urgency.PROD;
-        for (JobSpec s : acceleratorNeeds.values()) {
-            if (s.urgency().compareTo(least) < 0) {
-                least = s.urgency();
-            }
-        }
-        for (JobSpec s : acceleratorNeeds.values()) {
-            Resources n = s.need();
-            if (!n.fitsIn(t.size()) || s.urgency().compareTo(least) <= 0) {
-                continue;
-            }
-            double k = n.countIn(t.size());
-            r = new Resources(Math.max(r.cpus(), n.cpus() * k), 0, Math.max(r.ramGb(), n.ramGb() * k));
-        }
-        return r;
+        return acceleratorNeeds.share(t);
     }
 
     // ---- records ----------------------------------------------------------------------------------------------
@@ -322,10 +248,7 @@
         }
         jobs.put(j.spec.id(), j);
         blame.loaded(j);
-        if (j.spec.need().gpus() > 0) {
-            acceleratorNeeds.merge(
-                    j.spec.lane(), j.spec, (a, b) -> a.need().cpus() >= b.need().cpus() ? a : b);
-        }
+        acceleratorNeeds.add(j.spec);
         for (Placement p : j.placed.values()) {
             Machine m = machines.get(p.machine);
             if (m == null) {
@@ -405,7 +328,8 @@
         return p;
     }
 
-    private void drop(Placement p) {
+    /** Takes an attempt out of the picture of which it is certain that it runs nowhere. */
+    void drop(Placement p) {
         p.job.placed.remove(p.task);
         Machine m = machines.get(p.machine);
         if (m != null) {
@@ -414,11 +338,11 @@
     }
 
     /** The attempt is proven gone, without a result. */
-    private void gone(Placement p, double nowS, double retryS, String why) {
+    void gone(Placement p, double nowS, double retryS, String why) {
         drop(p);
         Job j = p.job;
         // A replica that is gone is missed by the second, and so is the room for one.
-        roomCameFree |= !reservations.isEmpty() || serviceWaits || j.spec.service() && !j.cancelled;
+        roomFreed(j.spec.service() && !j.cancelled);
         if (retryS > 0) {
             j.notBefore.put(p.task, nowS + retryS);
         }
@@ -433,405 +357,68 @@
         }
     }
 
-    // ---- reports ----------------------------------------------------------------------------------------------
+    // ---- workers ------------------------------------------------------------------------------------------------
 
     /** Takes in a worker's report and says what to answer; null means the reporter knows a newer leader than us. */
     public List<Order> report(Report r, boolean mayStart, double nowS) {
-        if (r.token() > token) {
-            return null;
-        }
-        if (departed.containsKey(r.machine())) {
-            return List.of(); // a late word of a machine that was returned
-        }
-        Machine m = machines.get(r.machine());
-        if (m == null) {
-            m = new Machine(r.machine(), nowS);
-            added(m);
-            event("found " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""), m.name);
-        }
-        if (!r.newerThan(m.session, m.sequence)) {
-            // Overtaken by the answer to orders sent directly to the worker, it may still be the one report that it
-            // waits
-            // for, and then what we answer renews its lease. A copy of a report that we had is no such thing, nor is
-            // one
-            // that a later report has followed.
-            if (r.session() == m.session && r.sequence() > m.reportSequence) {
-                m.reportSequence = r.sequence();
-                m.answeredS = nowS;
-            }
-            return List.of(); // held back on its way: as old as its sequence
-        }
-        if (!m.up) {
-            m.firstHeard(nowS);
-        }
-        boolean served = m.synced && !m.deaf;
-        if (r.session() > m.session && m.sequence >= 0) {
-            m.deaf = true;
-        } else if (r.token() == token && r.sequence() == m.sequence + 1 && nowS - m.heardS < Constants.STAYED_S) {
-            m.deaf = false;
-        }
-        m.type = types.get(r.type());
-        m.zone = r.zone();
-        m.spot = r.spot();
-        m.address = r.address();
-        if (nowS - m.heardS > leaseS / 2) {
-            m.gapS = nowS;
-        }
-        m.heardS = nowS;
-        if (r.session() != m.session) {
-            m.ended.clear();
-            m.atLarge.clear(); // a command names its session
-        }
-        m.session = r.session();
-        m.sequence = r.sequence();
-        m.reportSequence = r.sequence();
-        if (!Double.isNaN(r.recallS())) {
-            if (Double.isNaN(m.takenS)) {
-                event("notice, taken in " + Math.round(r.recallS()) + " s", m.name);
-            }
-            m.takenS = nowS + r.recallS();
-        }
-        // A report under an older token may be followed by an older leader's word; it proves nothing.
-        m.synced = r.token() == token;
-        // Nothing could be given to it until now, so it has not been idle; else what comes back from a cut is returned.
-        if (!served && m.synced && !m.deaf) {
-            m.idleSinceS = nowS;
-        }
-        if (m.synced && !m.deaf) {
-            m.unheardSinceS = Double.NaN;
-        } else if (Double.isNaN(m.unheardSinceS)) {
-            m.unheardSinceS = nowS;
-        }
-        m.answeredS = nowS;
-        if (!m.synced) {
-            return stops(m, r);
-        }
-        return settle(m, r, mayStart, nowS);
+        return reports.report(r, mayStart, nowS);
     }
 
-    /**
-     * What can be said to a worker that has not seen our token: cancelled tasks stop with the first answer, as the same
-     * answer renews their lease and leaders may change again before the next. A stop names an attempt and proves nothing.
-     */
-    private List<Order> stops(Machine m, Report r) {
-        List<Order> orders = new ArrayList<>();
-        for (Report.Item i : r.tasks()) {
-            Placement p = m.placed.get(i.job() + "/" + i.task());
-            if (p == null || p.attempt != i.attempt() || !p.job.cancelled || i.state() == TaskState.EXITED) {
-                continue;
-            }
-            orders.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
-        }
-        return orders;
-    }
-
-    // ---- directly to workers ----------------------------------------------------------------------------------
-
     /**
      * Orders that are worth a message of their own instead of waiting for the machine's next report: stops, which free
-     * room that somebody waits for, and starts of work that is waited for by the second, or with {@code every} any start, as a
-     * slot that waits for a report is idle. Marks them as sent.
+     * room that somebody waits for, and starts of work that is waited for by the second, or with {@code every} any start.
+     * Marks them as sent.
      */
     public List<Order> urgent(Machine m, boolean mayStart, boolean every, double nowS) {
-        if (!m.synced || m.deaf || m.address == null) {
-            return List.of();
-        }
-        List<Order> l = new ArrayList<>();
-        for (Placement p : m.placed.values()) {
-            if (p.session != m.session || jobs.get(p.job.spec.id()) != p.job) {
-                continue;
-            }
-            if (p.stopping && p.seen && !p.stopSent && p.state != TaskState.EXITED && (mayStart || p.job.cancelled)) {
-                p.stopSent = true;
-                l.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
-            } else if (mayStart
-                    && startable(m, p)
-                    && (every
-                            || p.job.spec.gang()
-                            || p.job.spec.service()
-                            || p.job.spec.need().gpus() > 0)) {
-                p.startAtLarge = true;
-                p.sentS = nowS;
-                m.atLarge.add(Machine.key(p.job.spec.id(), p.task, p.attempt));
-                l.add(new Order(Order.Verb.START, p.name(), p.attempt, 0));
-            }
-        }
-        return l;
-    }
-
-    private boolean startable(Machine m, Placement p) {
-        return p.startSentIn < 0
-                && !p.startAtLarge
-                && !p.seen
-                && !p.stopping
-                && !p.standby
-                && !p.job.cancelled
-                && Double.isNaN(p.sentS)
-                && p.session == m.session
-                && p.job.durable(p.task, p.version);
+        return commands.urgent(m, mayStart, every, nowS);
     }
 
     /** Nothing of these orders was carried out, nor ever will be. */
     public void refused(Machine m, long session, List<Order> orders) {
-        if (m.session != session) {
-            return;
-        }
-        for (Order o : orders) {
-            Placement p = m.placed.get(o.task());
-            // Not sent directly again, or a worker that refuses connections is called ten times a second; answers carry
-            // it.
-            if (p == null || p.attempt != o.attempt() || o.verb() == Order.Verb.STOP) {
-                continue;
-            }
-            p.startAtLarge = false;
-            m.atLarge.remove(Machine.key(p.job.spec.id(), p.task, p.attempt));
-        }
+        commands.refused(m, session, orders);
     }
 
-    /**
-     * A worker's report as it comes back from orders sent directly to it. It renews no lease, and what it lacks may
-     * still come by an answer on its way, so it only shows what is there.
-     */
+    /** A worker's report as it comes back from orders sent directly to it; it renews no lease. */
     public void carriedOut(Machine m, Report r, List<Order> orders, double nowS) {
-        if (r.token() > token || machines.get(m.name) != m || r.session() != m.session) {
-            return;
-        }
-        for (Order o : orders) {
-            if (o.verb() != Order.Verb.START) {
-                continue;
-            }
-            Placement p = m.placed.get(o.task());
-            if (p == null || p.attempt != o.attempt()) {
-                continue;
-            }
-            p.startAtLarge = false;
-            p.seen = true;
-            m.atLarge.remove(Machine.key(p.job.spec.id(), p.task, p.attempt));
-        }
-        if (!r.newerThan(m.session, m.sequence) || r.token() != token) {
-            return;
-        }
-        m.sequence = r.sequence();
-        m.heardS = nowS;
-        for (Report.Item i : r.tasks()) {
-            Placement p = m.placed.get(i.job() + "/" + i.task());
-            if (p == null || p.attempt != i.attempt()) {
-                continue;
-            }
-            shown(m, p, i, Machine.key(i.job(), i.task(), i.attempt()), nowS);
-        }
+        commands.carriedOut(m, r, orders, nowS);
     }
 
-    /**
-     * Whether the machine must not be answered, so that its lease runs out: a start sent to it has neither been
-     * answered nor taken effect, and only the end of its session proves that it never will.
-     */
+    /** Whether the machine must not be answered, so that its lease runs out. */
     public boolean unanswerable(String machine, double nowS) {
-        Machine m = machines.get(machine);
-        if (m == null || m.atLarge.isEmpty()) {
-            return false;
-        }
-        for (Placement p : m.placed.values()) {
-            if (p.startAtLarge && !p.seen && nowS - p.sentS > Constants.AT_LARGE_S) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Takes in what a report shows of an attempt that is placed there. */
-    private void shown(Machine m, Placement p, Report.Item i, String key, double nowS) {
-        p.seen = true;
-        p.state = i.state();
-        if (i.state() == TaskState.EXITED) {
-            ended(m, p, i, key, nowS);
-        } else if (i.state() == TaskState.RUNNING && Double.isNaN(p.runningS)) {
-            p.runningS = nowS;
-            if (p.job.spec.service()) {
-                p.job.touch(p.task, nowS, false); // its user is told how many run
-            }
-            m.images.remove(p.job.spec.image());
-            m.images.add(p.job.spec.image());
-        }
+        return commands.unanswerable(machine, nowS);
     }
 
-    private List<Order> settle(Machine m, Report r, boolean mayStart, double nowS) {
-        List<Order> orders = new ArrayList<>();
-        Map<String, Report.Item> shown = new HashMap<>();
-        for (Report.Item i : r.tasks()) {
-            shown.put(Machine.key(i.job(), i.task(), i.attempt()), i);
-        }
-        m.strays.clear();
-        for (Placement p : new ArrayList<>(m.placed.values())) {
-            if (p.session < m.session) {
-                gone(p, nowS, 0, "new session");
-                continue;
-            }
-            String key = Machine.key(p.job.spec.id(), p.task, p.attempt);
-            Report.Item i = shown.remove(key);
-            if (i == null) {
-                absent(m, p, r, nowS);
-                continue;
-            }
-            shown(m, p, i, key, nowS);
-            if (i.state() != TaskState.EXITED && p.stopping) {
-                orders.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
-            }
-        }
-        for (Report.Item i : r.tasks()) {
-            String key = Machine.key(i.job(), i.task(), i.attempt());
-            String name = i.job() + "/" + i.task();
-            if (i.state() == TaskState.EXITED) {
-                Machine.Ended e = m.ended.get(key);
-                // Forgetting early would let a repeated start run it again, or lose the result.
-                // A start still at large would run it once more if it were forgotten.
-                if (m.atLarge.contains(key)) {
-                    continue;
-                }
-                if (e == null || e.durable() || jobs.get(i.job()) != e.job()) {
-                    m.ended.remove(key);
-                    orders.add(new Order(Order.Verb.FORGET, name, i.attempt(), 0));
-                }
-            } else if (shown.containsKey(key)) {
-                m.strays.put(key, i);
-                orders.add(new Order(Order.Verb.STOP, name, i.attempt(), 0));
-            }
-        }
-        if (mayStart) {
-            for (Placement p : m.placed.values()) {
-                if (p.startSentIn >= 0 || p.seen || p.stopping || p.job.cancelled || p.session != m.session) {
-                    continue;
-                }
-                if (!p.job.durable(p.task, p.version) || jobs.get(p.job.spec.id()) != p.job) {
-                    continue;
-                }
-                if (p.standby && !mayBegin(m, p)) {
-                    continue;
-                }
-                p.standby = false;
-                p.startSentIn = r.sequence();
-                orders.add(new Order(Order.Verb.START, p.name(), p.attempt, 0));
-            }
-        }
-        if (!m.empty()) {
-            m.idleSinceS = nowS;
-        }
-        return orders;
+    /** Standbys whose room has come free become ordinary placements; those that waited too long are given up. */
+    public void reviewStandbys(double nowS) {
+        reports.reviewStandbys(nowS);
     }
 
-    /** Whether what a standby waited for has ended. */
-    private static boolean mayBegin(Machine m, Placement p) {
-        return m.type != null
-                && m.strays.isEmpty()
-                && p.job.spec.need().fitsIn(m.type.size().minus(m.used()));
+    /** Whether this machine was proven gone. */
+    boolean departed(String name) {
+        return departed.containsKey(name);
     }
 
-    /** Standbys whose room has come free become ordinary placements; those that waited too long are given up. */
-    public void reviewStandbys(double nowS) {
-        for (Machine m : machines.values()) {
-            for (Placement p : new ArrayList<>(m.placed.values())) {
-                if (!p.standby) {
-                    continue;
-                }
-                if (mayBegin(m, p)) {
-                    p.standby = false;
-                } else if (nowS - p.sinceS > Constants.STANDBY_MAX_S) {
-                    drop(p); // its start never left
-                    p.job.touch(p.task, nowS, false);
-                }
-            }
-        }
+    /** Room has come free, which somebody may wait for by the second. */
+    void roomFreed(boolean waitedFor) {
+        roomCameFree |= waitedFor || !reservations.isEmpty() || serviceWaits;
     }
 
-    /** A newer report lacks an attempt: its start, if any, was dropped for good, since workers drop late answers. */
-    private void absent(Machine m, Placement p, Report r, double nowS) {
-        if (p.seen) {
-            // At large, it could even begin once more; but a worker forgets an attempt only when told to.
-            gone(p, nowS, 0, "not reported any more");
-        } else if (p.startAtLarge) {
-            // No proof of anything, but an answer may bring the same start sooner; see unanswerable.
-            if (r.sequence() > p.startSentIn) {
-                p.startSentIn = -1;
-            }
-        } else if (p.stopping) {
-            if (p.job.durable(p.task, p.version)) {
-                gone(p, nowS, 0, "stopped before it began");
-            }
-        } else if (p.startSentIn >= 0 && r.sequence() > p.startSentIn) {
-            // Once, an answer was lost; twice, the machine does not hear us, and what waits for it must not wait
-            // longer.
-            if (++p.ignored < Constants.IGNORED_STARTS) {
-                p.startSentIn = -1; // goes out again with this answer
-            } else {
-                m.deaf = true;
-                gone(p, nowS, 0, "its start has no effect");
-            }
-        }
+    /** A task has failed by itself, on a machine that may be at fault. */
+    void failed(Machine m, Job j, long attempt) {
+        failedTasks++;
+        blame.failed(m, j, attempt);
     }
 
-    private void ended(Machine m, Placement p, Report.Item i, String key, double nowS) {
-        Job j = p.job;
-        if (j.spec.service()) {
-            gone(p, nowS, replicaEnded(m, p, i.cause(), nowS), "replica exited " + i.cause());
-        } else if (i.cause() == Cause.DONE) {
-            drop(p);
-            roomCameFree |= !reservations.isEmpty() || serviceWaits;
-            if (outcomes.done(m, p, machines.size(), condemned, nowS)) {
-                event("quarantined, runs tasks slowly", m.name);
-            }
-            if (j.spec.gang()) { // a gang completes together
-                j.done.set(0, j.spec.tasks());
-                for (int t = 0; t < j.spec.tasks(); t = j.from(j.partOf(t) + 1)) {
-                    j.touch(t, nowS, true);
-                }
-            } else {
-                j.done.set(p.task);
-            }
-            j.failures.remove(p.task);
-            blame.succeeded(m, j);
-            j.touch(p.task, nowS, j.complete());
-        } else {
-            double retry = 0;
-            if (i.cause() == Cause.ERROR) {
-                int n = j.failures.addTo(p.task, 1) + 1;
-                retry = Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 1));
-                failedTasks++;
-                blame.failed(m, j, p.attempt);
-                if (j.failureHistory.suspected()) {
-                    j.pausedUntilS = Math.max(j.pausedUntilS, nowS + j.failureHistory.retryS());
-                }
-            } else if (i.cause() == Cause.FULL || i.cause() == Cause.BUSY || i.cause() == Cause.UNKNOWN) {
-                retry = Constants.REFUSED_RETRY_S;
-            }
-            gone(p, nowS, retry, "exited " + i.cause() + (i.saved() ? ", saved" : ""));
-        }
-        m.ended.put(key, new Machine.Ended(j, p.task, j.version));
+    /** A task has completed, or a replica has run for long: neither its job nor its machine is at fault. */
+    void succeeded(Machine m, Job j) {
+        blame.succeeded(m, j);
     }
 
-    /**
-     * A replica has ended by itself, with whatever cause: it has to run again, and elsewhere. Returns the seconds until
-     * then: none for one that had settled or failed once, as the fault is most likely the machine's; one that ends at
-     * once again and again must not take the turn of the others.
-     */
-    private double replicaEnded(Machine m, Placement p, Cause cause, double nowS) {
-        Job j = p.job;
-        if (cause == Cause.STOPPED) {
-            return 0;
-        }
-        j.avoid.put(p.task, m.name);
-        if (cause == Cause.FULL || cause == Cause.BUSY || cause == Cause.UNKNOWN) {
-            return Constants.REFUSED_RETRY_S;
-        }
-        if (!Double.isNaN(p.runningS) && nowS - p.runningS > Constants.SETTLED_S) {
-            j.failures.remove(p.task);
-            blame.succeeded(m, j);
-        }
-        int n = j.failures.addTo(p.task, 1) + 1;
-        if (cause == Cause.ERROR) {
-            failedTasks++;
-            blame.failed(m, j, p.attempt);
+    /** A task has completed in this time; what that says of its machine and its class. */
+    void completed(Machine m, Placement p, double nowS) {
+        if (outcomes.done(m, p, machines.size(), condemned, nowS)) {
+            event("quarantined, runs tasks slowly", m.name);
         }
-        return n < 2 ? 0 : Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 2));
     }
 
     // ---- proofs without the worker -----------------------------------------------------------------------------
@@ -934,7 +521,8 @@
         }
     }
 
-    private Machine added(Machine m) {
+    /** Takes in a machine that was not known. */
+    Machine added(Machine m) {
         machines.put(m.name, m);
         List<String> l = expected.remove(m.name);
         if (l != null) {
