--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -1,11 +1,9 @@
 package org.mountlug.node;
 
 import io.undertow.util.Methods;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.DoubleSupplier;
 import org.mountlug.Constants;
@@ -54,13 +52,8 @@
     private final PeerView peerView;
     private final long boot;
     private final double startedS;
-    private final Set<String> reserved = new HashSet<>();
-    private long reservationsFrom = -1;
-    private boolean watchingReservations;
-    private double nextReservationsS;
-    private boolean announced;
-    private boolean announcing;
-    private double nextAnnounceS;
+    private final ReservationWatch reservations;
+    private final VersionAnnouncement versions;
     private final ReportCount reports;
     private final StoredReportCounts storedCounts;
     private final OverloadLog overload = new OverloadLog();
@@ -88,6 +81,8 @@
         this.boot = random.nextLong();
         this.startedS = clockS.getAsDouble();
         this.lastTurnS = startedS;
+        this.reservations = new ReservationWatch(state, metrics);
+        this.versions = new VersionAnnouncement(state, settings.label());
         this.storedCounts = new StoredReportCounts(state, settings.label());
         this.reports = new ReportCount(Constants.REPORTS_INTERVALS * settings.reportS());
         this.election = new Election(settings.label(), Long.toHexString(boot));
@@ -127,8 +122,10 @@
         }
         lead();
         watchLeader();
-        announce();
-        watchReservations();
+        versions.announce(clockS.getAsDouble());
+        if (!election.leading() && election.leader() != null) {
+            reservations.watch(clockS.getAsDouble());
+        }
         types();
         if (leader != null) {
             leader.tick();
@@ -341,89 +338,6 @@
         });
     }
 
-    // ---- versions ---------------------------------------------------------------------------------------------
-
-    /**
-     * Writes down, once in a life, which records this process reads. Leaders write what older versions do not know only
-     * when every controller has, see {@link Leader}; so it stays when the process ends, and whoever starts an older
-     * version again deletes it first.
-     */
-    private void announce() {
-        double now = clockS.getAsDouble();
-        if (announced || announcing || now < nextAnnounceS) {
-            return;
-        }
-        announcing = true;
-        nextAnnounceS = now + Constants.ANNOUNCE_MS / 1000.0;
-        String key = RecordCodec.VERSIONS + settings.label();
-        state.get(key, Constants.STATE_TIMEOUT_MS, a -> {
-            if (a.status() == 200 && Fields.num(Fields.map(a.body().get("v")), "layout", 0) == RecordCodec.LAYOUT) {
-                announced = true;
-            }
-            if (announced || a.status() != 200 && a.status() != 404) {
-                announcing = false;
-                return;
-            }
-            state.commit(
-                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, Map.of("layout", (long)
-                            RecordCodec.LAYOUT)),
-                    b -> {
-                        announcing = false;
-                        announced = b.status() == 200;
-                    });
-        });
-    }
-
-    // ---- reservations -----------------------------------------------------------------------------------------
-
-    /**
-     * Followers watch the reservations, as the design has it, so that every node can tell what is held for whom. A new
-     * leader still reads them itself before its first round: what a watch last said may be behind.
-     */
-    private void watchReservations() {
-        double now = clockS.getAsDouble();
-        if (watchingReservations || election.leading() || election.leader() == null || now < nextReservationsS) {
-            return;
-        }
-        watchingReservations = true;
-        nextReservationsS = now + Constants.RESERVATIONS_PAUSE_MS / 1000.0;
-        if (reservationsFrom < 0) {
-            state.list(RecordCodec.RESERVED, null, a -> {
-                watchingReservations = false;
-                if (a.status() != 200) {
-                    return;
-                }
-                reserved.clear();
-                for (Object o : Fields.list(a.body(), "rows")) {
-                    reserved.add(Fields.str(Fields.map(o), "k"));
-                }
-                reservationsFrom = Fields.num(a.body(), "epoch", 0);
-                metrics.reserved(reserved.size());
-            });
-            return;
-        }
-        state.watch(RecordCodec.RESERVED, reservationsFrom, Constants.WATCH_BLOCK_MS, a -> {
-            watchingReservations = false;
-            if (a.status() == 410) {
-                reservationsFrom = -1;
-            }
-            if (a.status() != 200) {
-                return;
-            }
-            reservationsFrom = Math.max(reservationsFrom, Fields.num(a.body(), "epoch", 0));
-            for (Object o : Fields.list(a.body(), "news")) {
-                Map<String, Object> e = Fields.map(o);
-                String put = Fields.str(e, "put");
-                if (put != null) {
-                    reserved.add(put);
-                } else {
-                    reserved.remove(Fields.str(e, "delete"));
-                }
-            }
-            metrics.reserved(reserved.size());
-        });
-    }
-
     // ---- peers ------------------------------------------------------------------------------------------------
 
     /** What this controller tells another one that asks. */
--- /dev/null
+++ b/src/main/java/org/mountlug/node/VersionAnnouncement.java
@@ -0,0 +1,52 @@
+package org.mountlug.node;
+
+import java.util.Map;
+import org.mountlug.Constants;
+import org.mountlug.store.Change;
+import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateClient;
+import org.mountlug.wire.Fields;
+
+/**
+ * Writes down, once in a life, which records this process reads. Leaders write what older versions do not know only when
+ * every controller has, see {@link RecordLayout}; so it stays when the process ends, and whoever starts an older version
+ * again deletes it first.
+ */
+final class VersionAnnouncement {
+    private final StateClient state;
+    private final String label;
+    private boolean announced;
+    private boolean announcing;
+    private double nextS;
+
+    VersionAnnouncement(StateClient state, String label) {
+        this.state = state;
+        this.label = label;
+    }
+
+    /** Tries to write it, until it is written. */
+    void announce(double now) {
+        if (announced || announcing || now < nextS) {
+            return;
+        }
+        announcing = true;
+        nextS = now + Constants.ANNOUNCE_MS / 1000.0;
+        String key = RecordCodec.VERSIONS + label;
+        state.get(key, Constants.STATE_TIMEOUT_MS, a -> {
+            if (a.status() == 200 && Fields.num(Fields.map(a.body().get("v")), "layout", 0) == RecordCodec.LAYOUT) {
+                announced = true;
+            }
+            if (announced || a.status() != 200 && a.status() != 404) {
+                announcing = false;
+                return;
+            }
+            state.commit(
+                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, Map.of("layout", (long)
+                            RecordCodec.LAYOUT)),
+                    b -> {
+                        announcing = false;
+                        announced = b.status() == 200;
+                    });
+        });
+    }
+}
