--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -120,6 +120,7 @@
     public static final double FETCH_SLOW = 1.33;
     /** What a second of fetching counts up to when a replica should run, and from then on. */
     public static final double EARLIER_WORTH = 0.2;
+
     public static final double LATER_COST = 4;
     /** Seconds from its submission in which a service takes cheap machines only. */
     public static final double CHEAP_FIRST_S = 1.2;
@@ -130,6 +131,7 @@
      * at the most: a replica stays for minutes, and its machine cannot be returned meanwhile.
      */
     public static final double KEPT_S = 0.25;
+
     public static final double KEPT_MOST_S = 6;
     /** Seconds of a later start for which a replica is not tried again where it last ended by itself. */
     public static final double ENDED_HERE_S = 60;
--- a/src/main/java/org/mountlug/agent/AgentCodec.java
+++ b/src/main/java/org/mountlug/agent/AgentCodec.java
@@ -1,16 +1,15 @@
 package org.mountlug.agent;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.mountlug.core.model.Cause;
 import org.mountlug.core.model.Order;
 import org.mountlug.core.model.Report;
 import org.mountlug.core.model.TaskState;
 import org.mountlug.wire.Fields;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-
 /** Workers' messages; the only place that knows their field names. */
 public final class AgentCodec {
     private AgentCodec() {}
@@ -18,26 +17,43 @@
     /** Reads a report, or returns null if it lacks what every report has. */
     public static Report report(Map<String, Object> m) {
         String rig = Fields.str(m, "rig");
-        if (rig == null || !(m.get("stint") instanceof Number) || !(m.get("tick") instanceof Number)) return null;
+        if (rig == null || !(m.get("stint") instanceof Number) || !(m.get("tick") instanceof Number)) {
+            return null;
+        }
         List<Object> raw = Fields.list(m, "pieces");
         List<Report.Item> items = new ArrayList<>(raw.size());
         for (Object o : raw) {
             Map<String, Object> t = Fields.map(o);
             String piece = Fields.str(t, "piece", "");
             int slash = piece.lastIndexOf('/');
-            if (slash < 0) continue;
+            if (slash < 0) {
+                continue;
+            }
             int task;
             try {
                 task = Integer.parseInt(piece.substring(slash + 1));
             } catch (NumberFormatException e) {
                 continue;
             }
-            items.add(new Report.Item(piece.substring(0, slash), task, Fields.num(t, "try", 0),
-                    state(Fields.str(t, "status", "")), cause(Fields.str(t, "cause", "")), Fields.bool(t, "saved")));
+            items.add(new Report.Item(
+                    piece.substring(0, slash),
+                    task,
+                    Fields.num(t, "try", 0),
+                    state(Fields.str(t, "status", "")),
+                    cause(Fields.str(t, "cause", "")),
+                    Fields.bool(t, "saved")));
         }
-        return new Report(rig, Fields.str(m, "address"), Fields.str(m, "build", ""), Fields.str(m, "site", ""),
-                Fields.bool(m, "loaners"), Fields.num(m, "stint", 0), Fields.num(m, "tick", 0),
-                Fields.num(m, "baton", 0), Fields.dec(m, "recallS", Double.NaN), items);
+        return new Report(
+                rig,
+                Fields.str(m, "address"),
+                Fields.str(m, "build", ""),
+                Fields.str(m, "site", ""),
+                Fields.bool(m, "loaners"),
+                Fields.num(m, "stint", 0),
+                Fields.num(m, "tick", 0),
+                Fields.num(m, "baton", 0),
+                Fields.dec(m, "recallS", Double.NaN),
+                items);
     }
 
     private static TaskState state(String s) {
@@ -83,14 +99,18 @@
         List<Object> l = new ArrayList<>(orders.size());
         for (Order o : orders) {
             Map<String, Object> c = new LinkedHashMap<>();
-            c.put("verb", switch (o.verb()) {
-                case START -> "start";
-                case STOP -> "kill";
-                case FORGET -> "clear";
-            });
+            c.put(
+                    "verb",
+                    switch (o.verb()) {
+                        case START -> "start";
+                        case STOP -> "kill";
+                        case FORGET -> "clear";
+                    });
             c.put("piece", o.task());
             c.put("try", o.attempt());
-            if (o.verb() == Order.Verb.STOP) c.put("leewayS", o.leewayS());
+            if (o.verb() == Order.Verb.STOP) {
+                c.put("leewayS", o.leewayS());
+            }
             l.add(c);
         }
         return l;
--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -6,6 +6,9 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Map;
 import org.mountlug.Constants;
 import org.mountlug.agent.AgentCodec;
 import org.mountlug.core.model.Report;
@@ -14,10 +17,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.util.Map;
-
 /** What users, the load balancer and workers reach on {@code listen}: paths, methods and bodies. */
 public final class Api implements HttpHandler {
     private static final Logger LOG = LoggerFactory.getLogger(Api.class);
@@ -36,13 +35,17 @@
         String path = x.getRequestPath();
         HttpString method = x.getRequestMethod();
         if (path.equals("/up")) {
-            if (!method.equals(Methods.GET)) empty(x, 405);
-            else empty(x, node.healthy() ? 200 : 503);
+            if (!method.equals(Methods.GET)) {
+                empty(x, 405);
+            } else {
+                empty(x, node.healthy() ? 200 : 503);
+            }
             return;
         }
         if (path.equals("/metrics")) {
-            if (!method.equals(Methods.GET)) empty(x, 405);
-            else {
+            if (!method.equals(Methods.GET)) {
+                empty(x, 405);
+            } else {
                 x.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
                 x.getResponseSender().send(node.metrics().scrape());
             }
@@ -59,27 +62,39 @@
                 return;
             }
             boolean beat = path.equals("/agent/beat");
-            x.getRequestReceiver().receiveFullBytes(
-                    (y, bytes) -> y.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                        if (beat) beat(y, bytes);
-                        else users.submit(bytes, reply(y));
-                    }),
-                    (y, e) -> empty(y, 400));
+            x.getRequestReceiver()
+                    .receiveFullBytes(
+                            (y, bytes) -> y.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                                if (beat) {
+                                    beat(y, bytes);
+                                } else {
+                                    users.submit(bytes, reply(y));
+                                }
+                            }),
+                            (y, e) -> empty(y, 400));
             return;
         }
         if (path.startsWith("/work/")) {
             String id = path.substring(6);
             if (id.endsWith("/abort")) {
                 String job = id.substring(0, id.length() - 6);
-                if (!method.equals(Methods.POST)) empty(x, 405);
-                else x.getRequestReceiver().receiveFullBytes(
-                        (y, bytes) -> y.dispatch(SameThreadExecutor.INSTANCE, () -> users.abort(job, reply(y))),
-                        (y, e) -> empty(y, 400));
+                if (!method.equals(Methods.POST)) {
+                    empty(x, 405);
+                } else {
+                    x.getRequestReceiver()
+                            .receiveFullBytes(
+                                    (y, bytes) ->
+                                            y.dispatch(SameThreadExecutor.INSTANCE, () -> users.abort(job, reply(y))),
+                                    (y, e) -> empty(y, 400));
+                }
                 return;
             }
             if (id.indexOf('/') < 0) {
-                if (!method.equals(Methods.GET)) empty(x, 405);
-                else x.dispatch(SameThreadExecutor.INSTANCE, () -> users.poll(id, reply(x)));
+                if (!method.equals(Methods.GET)) {
+                    empty(x, 405);
+                } else {
+                    x.dispatch(SameThreadExecutor.INSTANCE, () -> users.poll(id, reply(x)));
+                }
                 return;
             }
         }
@@ -88,20 +103,27 @@
 
     private static Users.Reply reply(HttpServerExchange x) {
         return (status, body) -> {
-            if (body == null) empty(x, status);
-            else answer(x, status, body);
+            if (body == null) {
+                empty(x, status);
+            } else {
+                answer(x, status, body);
+            }
         };
     }
 
     private static void empty(HttpServerExchange x, int status) {
         x.setStatusCode(status);
-        if (status == 429 || status == 503) x.getResponseHeaders().put(RETRY_AFTER, Constants.RETRY_AFTER_S);
+        if (status == 429 || status == 503) {
+            x.getResponseHeaders().put(RETRY_AFTER, Constants.RETRY_AFTER_S);
+        }
         x.endExchange();
     }
 
     private static void answer(HttpServerExchange x, int status, Map<String, Object> body) {
         x.setStatusCode(status);
-        if (status == 429 || status == 503) x.getResponseHeaders().put(RETRY_AFTER, Constants.RETRY_AFTER_S);
+        if (status == 429 || status == 503) {
+            x.getResponseHeaders().put(RETRY_AFTER, Constants.RETRY_AFTER_S);
+        }
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
         x.getResponseSender().send(ByteBuffer.wrap(Cbor.write(body)));
     }
@@ -124,6 +146,8 @@
             answer(x, 200, AgentCodec.answer(o.token(), o.orders()));
         } else if (b instanceof Controller.Beat.Elsewhere e) {
             answer(x, 421, e.leader() == null ? Map.of() : Map.of("foreman", e.leader()));
-        } else empty(x, 503);
+        } else {
+            empty(x, 503);
+        }
     }
 }
--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -1,5 +1,10 @@
 package org.mountlug.api;
 
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
 import org.mountlug.Constants;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Team;
@@ -13,12 +18,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.io.IOException;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.function.LongSupplier;
-
 /** What users ask: submissions, polls and aborts, on any node, each decided by the job's record. */
 public final class Users {
     private static final Logger LOG = LoggerFactory.getLogger(Users.class);
@@ -38,7 +37,9 @@
         this.node = node;
         this.state = state;
         this.epochMs = epochMs;
-        for (Team t : settings.teams()) teams.put(t.name(), t);
+        for (Team t : settings.teams()) {
+            teams.put(t.name(), t);
+        }
         valueBytes = (int) (settings.leastValueKb() * 1024 * Constants.VALUE_FILL);
     }
 
@@ -72,14 +73,18 @@
                     Map<String, Object> v = Fields.map(b.body().get("v"));
                     node.learnFinal(id, Fields.bool(v, "done"), (int) Fields.num(v, "n", 0));
                     then.found(200, null, 0);
-                } else then.found(b.status() == 404 ? 404 : 0, null, 0);
+                } else {
+                    then.found(b.status() == 404 ? 404 : 0, null, 0);
+                }
             });
         });
     }
 
     private boolean answeredFinal(Reply x, String id) {
         Boolean f = node.finalState(id);
-        if (f == null) return false;
+        if (f == null) {
+            return false;
+        }
         x.send(200, status(id, f ? "done" : "withdrawn", f ? node.finalTasks(id) : 0, 0));
         return true;
     }
@@ -109,7 +114,9 @@
             x.send(404, null);
             return;
         }
-        if (answeredFinal(x, id)) return;
+        if (answeredFinal(x, id)) {
+            return;
+        }
         if (!state.mayRead()) {
             x.send(429, null);
             return;
@@ -120,10 +127,15 @@
     /** Answers with the job's current state, or does something else if no such job was ever accepted. */
     private void known(Reply x, String id, Runnable unknown) {
         find(id, (status, record, stamp) -> {
-            if (status == 404) unknown.run();
-            else if (status == 0) x.send(503, null);
-            else if (record == null) answeredFinal(x, id);
-            else answerLive(x, id, record);
+            if (status == 404) {
+                unknown.run();
+            } else if (status == 0) {
+                x.send(503, null);
+            } else if (record == null) {
+                answeredFinal(x, id);
+            } else {
+                answerLive(x, id, record);
+            }
         });
     }
 
@@ -146,7 +158,9 @@
             x.send(400, Map.of("error", "nameId"));
             return;
         }
-        if (answeredFinal(x, id)) return;
+        if (answeredFinal(x, id)) {
+            return;
+        }
         if (!state.maySubmit()) {
             x.send(429, null);
             return;
@@ -169,13 +183,17 @@
             known(x, id, () -> x.send(422, Map.of("error", hopeless)));
             return;
         }
-        if (!RecordCodec.fits(spec, valueBytes)) spec = spec.narrowed(node.knownTypes().keySet());
+        if (!RecordCodec.fits(spec, valueBytes)) {
+            spec = spec.narrowed(node.knownTypes().keySet());
+        }
         if (!RecordCodec.fits(spec, valueBytes)) {
             known(x, id, () -> x.send(400, Map.of("error", "description too long for the state service's limit")));
             return;
         }
         Map<String, Object> record = RecordCodec.fresh(spec);
-        Change c = new Change().guard(RecordCodec.LIVE + id, 0).guard(RecordCodec.FINAL + id, 0)
+        Change c = new Change()
+                .guard(RecordCodec.LIVE + id, 0)
+                .guard(RecordCodec.FINAL + id, 0)
                 .put(RecordCodec.LIVE + id, record);
         state.commit(c, a -> {
             if (a.status() == 200) {
@@ -185,7 +203,9 @@
                 x.send(201, ok);
             } else if (a.status() == 409) {
                 known(x, id, () -> x.send(503, null));
-            } else x.send(a.status() == 429 ? 429 : 503, null);
+            } else {
+                x.send(a.status() == 429 ? 429 : 503, null);
+            }
         });
     }
 
@@ -198,24 +218,36 @@
             x.send(404, null);
             return;
         }
-        if (answeredFinal(x, id)) return;
+        if (answeredFinal(x, id)) {
+            return;
+        }
         if (tries == 0 || !state.maySubmit()) {
             x.send(tries == 0 ? 503 : 429, null);
             return;
         }
         find(id, (status, record, stamp) -> {
-            if (status == 404) x.send(404, null);
-            else if (status == 0) x.send(503, null);
-            else if (record == null) answeredFinal(x, id);
-            else if (Fields.bool(record, "x")) withdrawn(x, id);
-            else {
+            if (status == 404) {
+                x.send(404, null);
+            } else if (status == 0) {
+                x.send(503, null);
+            } else if (record == null) {
+                answeredFinal(x, id);
+            } else if (Fields.bool(record, "x")) {
+                withdrawn(x, id);
+            } else {
                 Map<String, Object> v = new LinkedHashMap<>(record);
                 v.put("x", true);
                 state.commit(new Change().guard(RecordCodec.LIVE + id, stamp).put(RecordCodec.LIVE + id, v), a -> {
-                    if (a.status() == 200) withdrawn(x, id);
-                    else if (a.status() == 409) abort(x, id, tries - 1);
-                    // Too large to be written back since the limits were lowered: the leader rewrites such records first.
-                    else x.send(a.status() == 429 ? 429 : 503, null);
+                    if (a.status() == 200) {
+                        withdrawn(x, id);
+                    } else if (a.status() == 409) {
+                        abort(x, id, tries - 1);
+                    }
+                    // Too large to be written back since the limits were lowered: the leader rewrites such records
+                    // first.
+                    else {
+                        x.send(a.status() == 429 ? 429 : 503, null);
+                    }
                 });
             }
         });
--- a/src/main/java/org/mountlug/cli/Main.java
+++ b/src/main/java/org/mountlug/cli/Main.java
@@ -1,5 +1,7 @@
 package org.mountlug.cli;
 
+import java.nio.file.Path;
+import java.util.List;
 import org.mountlug.node.Daemon;
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
@@ -9,9 +11,6 @@
 import picocli.CommandLine.Model.OptionSpec;
 import picocli.CommandLine.ParseResult;
 
-import java.nio.file.Path;
-import java.util.List;
-
 /**
  * The command line. Built by hand rather than from annotations: reading those by reflection takes a noticeable part of
  * a controller's start.
@@ -24,28 +23,43 @@
 
     public static void main(String[] args) {
         int code = run(args);
-        if (code >= 0) System.exit(code);
+        if (code >= 0) {
+            System.exit(code);
+        }
     }
 
     private static CommandSpec command(String name, String about) {
         CommandSpec s = CommandSpec.create().name(name);
         s.usageMessage().description(about);
-        s.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).description("Shows this help.").build());
+        s.addOption(OptionSpec.builder("-h", "--help")
+                .usageHelp(true)
+                .description("Shows this help.")
+                .build());
         return s;
     }
 
     private static CommandSpec withSettings(String name, String about) {
         return command(name, about)
-                .addOption(OptionSpec.builder("--config").paramLabel("FILE").type(Path.class).required(true)
-                        .description("The platform's settings, TOML.").build())
-                .addOption(OptionSpec.builder("--operators").paramLabel("FILE").type(Path.class)
-                        .description("The operators' own settings, YAML.").build());
+                .addOption(OptionSpec.builder("--config")
+                        .paramLabel("FILE")
+                        .type(Path.class)
+                        .required(true)
+                        .description("The platform's settings, TOML.")
+                        .build())
+                .addOption(OptionSpec.builder("--operators")
+                        .paramLabel("FILE")
+                        .type(Path.class)
+                        .description("The operators' own settings, YAML.")
+                        .build());
     }
 
     private static CommandLine commandLine() {
         CommandSpec root = command("mountlug", "A cluster scheduler: controllers that rent machines and run jobs.");
         root.version(VERSION);
-        root.addOption(OptionSpec.builder("-V", "--version").versionHelp(true).description("Shows the version.").build());
+        root.addOption(OptionSpec.builder("-V", "--version")
+                .versionHelp(true)
+                .description("Shows the version.")
+                .build());
         root.addSubcommand("serve", withSettings("serve", "Runs a controller until it is killed."));
         root.addSubcommand("check", withSettings("check", "Checks settings; exits 0 if they are good, 1 if not."));
         CommandSpec rehearse = command("rehearse", "Runs a controller against nothing for a moment, at build time.");
@@ -66,14 +80,18 @@
             e.getCommandLine().usage(System.err);
             return BAD_SETTINGS;
         }
-        if (CommandLine.printHelpIfRequested(r)) return 0;
+        if (CommandLine.printHelpIfRequested(r)) {
+            return 0;
+        }
         if (!r.hasSubcommand()) {
             cli.usage(System.err);
             return BAD_SETTINGS;
         }
         ParseResult sub = r.subcommand();
         String name = sub.commandSpec().name();
-        if (name.equals("rehearse")) return Rehearsal.run();
+        if (name.equals("rehearse")) {
+            return Rehearsal.run();
+        }
         Path config = sub.matchedOptionValue("--config", (Path) null);
         Path own = sub.matchedOptionValue("--operators", (Path) null);
         try {
@@ -105,8 +123,9 @@
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         System.setProperty("org.slf4j.simpleLogger.showDateTime", Boolean.toString(times));
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
-        System.setProperty("org.slf4j.simpleLogger.log.org.mountlug", level.equals("debug") ? "debug"
-                : level.equals("error") ? "error" : "info");
+        System.setProperty(
+                "org.slf4j.simpleLogger.log.org.mountlug",
+                level.equals("debug") ? "debug" : level.equals("error") ? "error" : "info");
         System.setProperty("org.jboss.logging.provider", "slf4j");
     }
 }
--- a/src/main/java/org/mountlug/cli/Rehearsal.java
+++ b/src/main/java/org/mountlug/cli/Rehearsal.java
@@ -1,13 +1,12 @@
 package org.mountlug.cli;
 
-import org.mountlug.node.Daemon;
-import org.mountlug.settings.Operators;
-import org.mountlug.settings.Settings;
-
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.mountlug.node.Daemon;
+import org.mountlug.settings.Operators;
+import org.mountlug.settings.Settings;
 
 /**
  * A controller's start and its first second, run once by the build so that the classes it needs land in the class-data
@@ -21,8 +20,10 @@
             Path file = Files.createTempFile("mountlug", ".toml");
             try {
                 int[] ports = new int[4];
-                for (int i = 0; i < ports.length; i++) try (ServerSocket s = new ServerSocket(0)) {
-                    ports[i] = s.getLocalPort();
+                for (int i = 0; i < ports.length; i++) {
+                    try (ServerSocket s = new ServerSocket(0)) {
+                        ports[i] = s.getLocalPort();
+                    }
                 }
                 Files.writeString(file, """
                         label = "a"
--- a/src/main/java/org/mountlug/cli/StandIns.java
+++ b/src/main/java/org/mountlug/cli/StandIns.java
@@ -2,9 +2,6 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
-import org.mountlug.wire.Cbor;
-import org.mountlug.wire.Fields;
-
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.HttpURLConnection;
@@ -18,6 +15,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.mountlug.wire.Cbor;
+import org.mountlug.wire.Fields;
 
 /** The least of a state service and a cloud that a rehearsal needs, kept in memory on loopback. */
 final class StandIns implements AutoCloseable {
@@ -36,8 +35,26 @@
         state.createContext("/multi", this::multi);
         state.createContext("/holds", x -> reply(x, 200, Map.of("hold", 7)));
         state.createContext("/watch", this::watch);
-        cloud.createContext("/flavors", x -> reply(x, 200, Map.of("builds", List.of(
-                Map.of("name", "m", "vcpus", 8.0, "cards", 0.0, "ramGb", 32.0, "bootS", 10.0, "sites", List.of("z"))))));
+        cloud.createContext(
+                "/flavors",
+                x -> reply(
+                        x,
+                        200,
+                        Map.of(
+                                "builds",
+                                List.of(Map.of(
+                                        "name",
+                                        "m",
+                                        "vcpus",
+                                        8.0,
+                                        "cards",
+                                        0.0,
+                                        "ramGb",
+                                        32.0,
+                                        "bootS",
+                                        10.0,
+                                        "sites",
+                                        List.of("z"))))));
         cloud.createContext("/hosts", x -> reply(x, 200, Map.of("rigs", List.of(), "hasNext", false)));
         state.start();
         cloud.start();
@@ -64,14 +81,19 @@
             String prefix = x.getRequestURI().getQuery().replaceAll(".*prefix=([^&]*).*", "$1");
             List<Object> out = new ArrayList<>();
             rows.forEach((k, r) -> {
-                if (k.startsWith(prefix)) out.add(Map.of("k", k, "v", r.value, "stamp", r.stamp));
+                if (k.startsWith(prefix)) {
+                    out.add(Map.of("k", k, "v", r.value, "stamp", r.stamp));
+                }
             });
             reply(x, 200, Map.of("rows", out, "hasNext", false, "epoch", epoch));
             return;
         }
         Row r = rows.get(path.substring(4));
-        if (r == null) reply(x, 404, Map.of("epoch", epoch));
-        else reply(x, 200, Map.of("k", path.substring(4), "v", r.value, "stamp", r.stamp));
+        if (r == null) {
+            reply(x, 404, Map.of("epoch", epoch));
+        } else {
+            reply(x, 200, Map.of("k", path.substring(4), "v", r.value, "stamp", r.stamp));
+        }
     }
 
     private synchronized void multi(HttpExchange x) throws IOException {
@@ -80,7 +102,9 @@
         for (Object o : Fields.list(m, "guards")) {
             Map<String, Object> g = Fields.map(o);
             Row r = rows.get(Fields.str(g, "k"));
-            if ((r == null ? 0 : r.stamp) != Fields.num(g, "stamp", 0)) failed.add(g.get("k"));
+            if ((r == null ? 0 : r.stamp) != Fields.num(g, "stamp", 0)) {
+                failed.add(g.get("k"));
+            }
         }
         if (!failed.isEmpty()) {
             reply(x, 409, Map.of("failed", failed, "epoch", epoch));
@@ -89,8 +113,11 @@
         epoch++;
         for (Object o : Fields.list(m, "writes")) {
             Map<String, Object> w = Fields.map(o);
-            if (w.containsKey("put")) rows.put(Fields.str(w, "put"), new Row(w.get("v"), epoch));
-            else rows.remove(Fields.str(w, "delete"));
+            if (w.containsKey("put")) {
+                rows.put(Fields.str(w, "put"), new Row(w.get("v"), epoch));
+            } else {
+                rows.remove(Fields.str(w, "delete"));
+            }
         }
         reply(x, 200, Map.of("epoch", epoch));
     }
@@ -106,7 +133,9 @@
         synchronized (this) {
             now = epoch;
             rows.forEach((k, r) -> {
-                if (k.startsWith("j/")) news.add(Map.of("put", k, "v", r.value, "stamp", r.stamp));
+                if (k.startsWith("j/")) {
+                    news.add(Map.of("put", k, "v", r.value, "stamp", r.stamp));
+                }
             });
         }
         reply(x, 200, Map.of("epoch", now, "news", news));
@@ -115,7 +144,9 @@
     /** Takes a node through its ordinary work: health, a job, a worker that runs it, an abort. */
     void exercise(int port) throws IOException, InterruptedException {
         for (int i = 0; i < 40; i++) {
-            if (call(port, "GET", "/up", null) == 200) break;
+            if (call(port, "GET", "/up", null) == 200) {
+                break;
+            }
             Thread.sleep(100);
         }
         Thread.sleep(1200);
@@ -128,9 +159,15 @@
             job.put("shape", n % 2 == 0 ? "array" : "group");
             job.put("urgency", n % 2 == 0 ? "high" : "standard");
             job.put("pieces", 3);
-            for (String k : List.of("vcpus", "ramGb", "expectedS", "imageGb")) job.put(k, 1.0);
-            for (String k : List.of("cards", "bookmarkS", "stashS")) job.put(k, 0.0);
-            for (String k : List.of("oneZone", "apart", "loaners")) job.put(k, n % 2 == 0);
+            for (String k : List.of("vcpus", "ramGb", "expectedS", "imageGb")) {
+                job.put(k, 1.0);
+            }
+            for (String k : List.of("cards", "bookmarkS", "stashS")) {
+                job.put(k, 0.0);
+            }
+            for (String k : List.of("oneZone", "apart", "loaners")) {
+                job.put(k, n % 2 == 0);
+            }
             job.put("bundle", "i");
             call(port, "POST", "/work", job);
             call(port, "GET", "/work/wk-00000" + n, null);
@@ -158,7 +195,9 @@
                 t.put("status", "exited");
                 t.put("cause", "done");
                 running.removeIf(r -> Fields.map(r).get("piece").equals(c.get("piece")));
-                if ("start".equals(c.get("verb"))) running.add(t);
+                if ("start".equals(c.get("verb"))) {
+                    running.add(t);
+                }
             }
             Thread.sleep(150);
         }
@@ -169,7 +208,8 @@
     }
 
     private static HttpURLConnection open(int port, String method, String path, Object body) throws IOException {
-        HttpURLConnection c = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+        HttpURLConnection c = (HttpURLConnection)
+                URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
         c.setRequestMethod(method);
         c.setConnectTimeout(2000);
         c.setReadTimeout(5000);
@@ -184,14 +224,18 @@
         HttpURLConnection c = open(port, method, path, body);
         int status = c.getResponseCode();
         try (var in = status < 400 ? c.getInputStream() : c.getErrorStream()) {
-            if (in != null) in.readAllBytes();
+            if (in != null) {
+                in.readAllBytes();
+            }
         }
         return status;
     }
 
     private static Map<String, Object> body(int port, Object body) throws IOException {
         HttpURLConnection c = open(port, "POST", "/agent/beat", body);
-        if (c.getResponseCode() != 200) return Map.of();
+        if (c.getResponseCode() != 200) {
+            return Map.of();
+        }
         try (var in = c.getInputStream()) {
             return Cbor.readMap(in.readAllBytes());
         }
--- a/src/main/java/org/mountlug/cloud/CloudCodec.java
+++ b/src/main/java/org/mountlug/cloud/CloudCodec.java
@@ -1,16 +1,15 @@
 package org.mountlug.cloud;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.mountlug.core.model.MachineType;
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.scale.Listed;
 import org.mountlug.core.scale.Rental;
 import org.mountlug.wire.Fields;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-
 /** The cloud's messages; the only place that knows their field names. */
 public final class CloudCodec {
     private CloudCodec() {}
@@ -20,12 +19,18 @@
         for (Object o : Fields.list(m, "builds")) {
             Map<String, Object> b = Fields.map(o);
             String name = Fields.str(b, "name");
-            if (name == null) continue;
+            if (name == null) {
+                continue;
+            }
             List<String> zones = Fields.strings(b, "sites");
-            out.add(new MachineType(name,
+            out.add(new MachineType(
+                    name,
                     new Resources(Fields.dec(b, "vcpus", 0), Fields.dec(b, "cards", 0), Fields.dec(b, "ramGb", 0)),
-                    Fields.dec(b, "cacheGb", 0), Fields.dec(b, "fetchGbPerS", 1), Fields.dec(b, "price", 1),
-                    Fields.dec(b, "marketPrice", Fields.dec(b, "price", 1)), Fields.dec(b, "bootS", 60),
+                    Fields.dec(b, "cacheGb", 0),
+                    Fields.dec(b, "fetchGbPerS", 1),
+                    Fields.dec(b, "price", 1),
+                    Fields.dec(b, "marketPrice", Fields.dec(b, "price", 1)),
+                    Fields.dec(b, "bootS", 60),
                     zones == null ? List.of() : List.copyOf(zones)));
         }
         return out;
@@ -77,14 +82,23 @@
         for (Object o : Fields.list(m, "rigs")) {
             Map<String, Object> r = Fields.map(o);
             String name = Fields.str(r, "nameId");
-            if (name == null) continue;
-            Listed.Status s = switch (Fields.str(r, "status", "")) {
-                case "booting" -> Listed.Status.BOOTING;
-                case "failed" -> Listed.Status.FAILED;
-                default -> Listed.Status.RUNNING;
-            };
-            out.add(new Listed(name, Fields.str(r, "address"), Fields.str(r, "build", ""), Fields.str(r, "site", ""),
-                    Fields.bool(r, "loaners"), s, Fields.dec(r, "ageS", 0)));
+            if (name == null) {
+                continue;
+            }
+            Listed.Status s =
+                    switch (Fields.str(r, "status", "")) {
+                        case "booting" -> Listed.Status.BOOTING;
+                        case "failed" -> Listed.Status.FAILED;
+                        default -> Listed.Status.RUNNING;
+                    };
+            out.add(new Listed(
+                    name,
+                    Fields.str(r, "address"),
+                    Fields.str(r, "build", ""),
+                    Fields.str(r, "site", ""),
+                    Fields.bool(r, "loaners"),
+                    s,
+                    Fields.dec(r, "ageS", 0)));
         }
         return out;
     }
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -1,5 +1,12 @@
 package org.mountlug.core.allocate;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import org.mountlug.Constants;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
@@ -11,14 +18,6 @@
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.Team;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.function.ToDoubleFunction;
-
 /**
  * One round of the design: pipelined gangs first, each task on the machine it is nominated for, then everything
  * pending from the teams' queues.
@@ -42,13 +41,17 @@
         this.usage = cluster.usage();
         Resources w = Resources.ZERO;
         for (Machine m : cluster.machines.values()) {
-            if (!m.usable()) continue;
+            if (!m.usable()) {
+                continue;
+            }
             nodes.put(m.name, new Node(m, cluster.companions(m.type), cluster.companionsOfAll(m.type)));
             w = w.plus(m.type.size());
         }
         whole = w;
         double least = Double.MAX_VALUE;
-        for (MachineType t : cluster.types()) least = Math.min(least, t.price());
+        for (MachineType t : cluster.types()) {
+            least = Math.min(least, t.price());
+        }
         cheapestPrice = Math.max(least, 1e-6);
     }
 
@@ -67,7 +70,9 @@
             Job j = cluster.jobs.get(e.getKey());
             for (Reservation r : e.getValue()) {
                 Node n = nodes.get(r.machine());
-                if (j != null && n != null) n.pipelined = n.pipelined.plus(j.spec.need());
+                if (j != null && n != null) {
+                    n.pipelined = n.pipelined.plus(j.spec.need());
+                }
             }
         }
         for (Machine m : cluster.machines.values()) {
@@ -89,10 +94,16 @@
         serve(pipelined);
         serve(pending);
         cluster.serviceWaits = false;
-        for (Job j : pending) cluster.serviceWaits |= j.spec.service() && j.open() > 0;
+        for (Job j : pending) {
+            cluster.serviceWaits |= j.spec.service() && j.open() > 0;
+        }
         hold(pending);
         spill(pending);
-        for (Job j : pending) if (!j.spec.gang() && j.open() > 0 && packsBadly(j)) array(j, false);
+        for (Job j : pending) {
+            if (!j.spec.gang() && j.open() > 0 && packsBadly(j)) {
+                array(j, false);
+            }
+        }
         standby(pending);
         return placedCount;
     }
@@ -104,7 +115,9 @@
      */
     private void hold(List<Job> pending) {
         for (Job j : pending) {
-            if (!j.spec.gang() || !j.placed.isEmpty() || cluster.reservations.containsKey(j.spec.id())) continue;
+            if (!j.spec.gang() || !j.placed.isEmpty() || cluster.reservations.containsKey(j.spec.id())) {
+                continue;
+            }
             int missing = j.spec.tasks();
             String zone = null;
             for (Node n : nodes.values()) {
@@ -118,15 +131,22 @@
                 double soonest = Constants.HOLD_MAX_S;
                 for (Node n : nodes.values()) {
                     Machine m = n.machine;
-                    if (m.heldFor != null || j.spec.oneZone() && zone != null && !zone.equals(m.zone)) continue;
-                    if (!j.spec.allows(m.type.name(), m.zone, m.spot) || !j.spec.need().fitsIn(m.type.size())) continue;
+                    if (m.heldFor != null || j.spec.oneZone() && zone != null && !zone.equals(m.zone)) {
+                        continue;
+                    }
+                    if (!j.spec.allows(m.type.name(), m.zone, m.spot)
+                            || !j.spec.need().fitsIn(m.type.size())) {
+                        continue;
+                    }
                     double t = freeInS(n, j.spec.need());
                     if (t < soonest) {
                         soonest = t;
                         best = n;
                     }
                 }
-                if (best == null) break;
+                if (best == null) {
+                    break;
+                }
                 best.machine.heldFor = j.spec.id();
                 zone = best.machine.zone;
             }
@@ -145,7 +165,9 @@
         Resources room = n.idle.minus(n.pipelined);
         double t = 0;
         for (Placement p : l) {
-            if (need.fitsIn(room)) break;
+            if (need.fitsIn(room)) {
+                break;
+            }
             room = room.plus(p.job.spec.need());
             t = left.get(p);
         }
@@ -160,7 +182,9 @@
     private void spill(List<Job> pending) {
         double waiting = 0;
         for (Job j : pending) {
-            if (j.spec.need().gpus() == 0 || j.open() <= 0 || cluster.reservations.containsKey(j.spec.id())) continue;
+            if (j.spec.need().gpus() == 0 || j.open() <= 0 || cluster.reservations.containsKey(j.spec.id())) {
+                continue;
+            }
             double share = 1;
             for (Node n : nodes.values()) {
                 if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot)
@@ -171,15 +195,23 @@
             waiting += Math.min(j.open(), Constants.SPILL_BAR_TASKS) * share;
         }
         List<Node> dear = new ArrayList<>();
-        for (Node n : nodes.values()) if (n.machine.type.size().gpus() > 0) dear.add(n);
+        for (Node n : nodes.values()) {
+            if (n.machine.type.size().gpus() > 0) {
+                dear.add(n);
+            }
+        }
         // The machines with most free accelerators empty first; those barred before stay so.
         dear.sort(Comparator.comparing((Node n) -> n.machine.noSpillUntilS <= nowS)
-                .thenComparingDouble(n -> -n.idle.shareOf(n.machine.type.size())).thenComparing(n -> n.machine.name));
+                .thenComparingDouble(n -> -n.idle.shareOf(n.machine.type.size()))
+                .thenComparing(n -> n.machine.name));
         int bar = (int) Math.min(Math.ceil(waiting), Math.ceil(dear.size() * Constants.SPILL_BAR_SHARE));
         for (int i = 0; i < dear.size(); i++) {
             Machine m = dear.get(i).machine;
-            if (i < bar) m.noSpillUntilS = Math.max(m.noSpillUntilS, nowS + Constants.SPILL_BAR_S);
-            else if (waiting == 0) m.noSpillUntilS = Double.NEGATIVE_INFINITY;
+            if (i < bar) {
+                m.noSpillUntilS = Math.max(m.noSpillUntilS, nowS + Constants.SPILL_BAR_S);
+            } else if (waiting == 0) {
+                m.noSpillUntilS = Double.NEGATIVE_INFINITY;
+            }
         }
         List<Job> jobs = new ArrayList<>();
         for (Job j : pending) {
@@ -188,7 +220,9 @@
             }
         }
         TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole, nowS);
-        for (Job j = q.next(); j != null; j = q.next()) array(j, true);
+        for (Job j = q.next(); j != null; j = q.next()) {
+            array(j, true);
+        }
     }
 
     /**
@@ -199,25 +233,42 @@
      */
     private void standby(List<Job> pending) {
         List<Job> jobs = new ArrayList<>();
-        for (Job j : pending) if (!j.spec.gang() && !j.spec.service() && !j.spec.apart() && j.open() > 0) jobs.add(j);
-        if (jobs.isEmpty()) return;
+        for (Job j : pending) {
+            if (!j.spec.gang() && !j.spec.service() && !j.spec.apart() && j.open() > 0) {
+                jobs.add(j);
+            }
+        }
+        if (jobs.isEmpty()) {
+            return;
+        }
         Map<Node, Resources> soon = new LinkedHashMap<>();
         for (Node n : nodes.values()) {
             // On accelerator machines room is fought over by priority, and a gang wants several slots at once.
-            if (n.machine.type.size().gpus() > 0 || n.machine.heldFor != null || !n.pipelined.isZero() || !n.machine.strays.isEmpty()) continue;
+            if (n.machine.type.size().gpus() > 0
+                    || n.machine.heldFor != null
+                    || !n.pipelined.isZero()
+                    || !n.machine.strays.isEmpty()) {
+                continue;
+            }
             Resources r = Resources.ZERO;
             for (Placement p : n.machine.placed.values()) {
                 if (p.standby) {
                     r = r.minus(p.job.spec.need());
                 } else if (!Double.isNaN(p.runningS) && !p.stopping) {
                     double left = cluster.expectedS(p.job) - (nowS - p.runningS);
-                    if (left < Constants.STANDBY_AHEAD_S) r = r.plus(p.job.spec.need());
+                    if (left < Constants.STANDBY_AHEAD_S) {
+                        r = r.plus(p.job.spec.need());
+                    }
                 }
             }
-            if (r.cpus() > 0) soon.put(n, r);
+            if (r.cpus() > 0) {
+                soon.put(n, r);
+            }
         }
         TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole, nowS);
-        for (Job j = q.next(); j != null && !soon.isEmpty(); j = q.next()) standby(j, soon);
+        for (Job j = q.next(); j != null && !soon.isEmpty(); j = q.next()) {
+            standby(j, soon);
+        }
     }
 
     private void standby(Job j, Map<Node, Resources> soon) {
@@ -228,12 +279,21 @@
         boolean any = false;
         for (Map.Entry<Node, Resources> e : soon.entrySet()) {
             Machine m = e.getKey().machine;
-            if (!j.spec.allows(m.type.name(), m.zone, m.spot)) continue;
+            if (!j.spec.allows(m.type.name(), m.zone, m.spot)) {
+                continue;
+            }
             while (budget > 0 && need.fitsIn(e.getValue()) && j.zoneAllows(m.zone, 1)) {
-                while (task < j.spec.tasks() && !j.wants(task, nowS)) task++;
-                if (task >= j.spec.tasks()) return;
-                Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO).plus(need);
-                if (team != null && !team.allows(used)) return;
+                while (task < j.spec.tasks() && !j.wants(task, nowS)) {
+                    task++;
+                }
+                if (task >= j.spec.tasks()) {
+                    return;
+                }
+                Resources used =
+                        usage.getOrDefault(j.spec.team(), Resources.ZERO).plus(need);
+                if (team != null && !team.allows(used)) {
+                    return;
+                }
                 if (!any) {
                     any = true;
                     j.attempts++;
@@ -251,11 +311,16 @@
      * machines last, as it has the dear ones, while what fills the cheap machines has only those.
      */
     private boolean packsBadly(Job j) {
-        if (!cluster.spilling.contains(j.spec.id())) return false;
+        if (!cluster.spilling.contains(j.spec.id())) {
+            return false;
+        }
         double best = 0;
         for (MachineType t : cluster.types()) {
-            if (t.size().gpus() > 0 || !j.spec.allows(t)) continue;
-            best = Math.max(best, j.spec.need().countIn(t.size()) * j.spec.need().shareOf(t.size()));
+            if (t.size().gpus() > 0 || !j.spec.allows(t)) {
+                continue;
+            }
+            best = Math.max(
+                    best, j.spec.need().countIn(t.size()) * j.spec.need().shareOf(t.size()));
         }
         return best < Constants.PACKS_BADLY;
     }
@@ -263,38 +328,52 @@
     private void serve(List<Job> jobs) {
         TeamQueues q = new TeamQueues(jobs, dueOrder, cluster::team, usage, whole, nowS);
         for (Job j = q.next(); j != null; j = q.next()) {
-            if (j.spec.gang()) gang(j);
-            else if (j.spec.service()) service(j);
-            else if (!packsBadly(j)) array(j, false);
+            if (j.spec.gang()) {
+                gang(j);
+            } else if (j.spec.service()) {
+                service(j);
+            } else if (!packsBadly(j)) {
+                array(j, false);
+            }
         }
     }
 
     private void release(Job j) {
         List<Reservation> old = cluster.reservations.remove(j.spec.id());
-        if (old == null) return;
-        for (Reservation r : old) unpipeline(j, r);
+        if (old == null) {
+            return;
+        }
+        for (Reservation r : old) {
+            unpipeline(j, r);
+        }
     }
 
     private void unpipeline(Job j, Reservation r) {
         Node n = nodes.get(r.machine());
-        if (n != null) n.pipelined = n.pipelined.minus(j.spec.need());
+        if (n != null) {
+            n.pipelined = n.pipelined.minus(j.spec.need());
+        }
     }
 
     private void gang(Job j) {
         List<Reservation> old = cluster.reservations.getOrDefault(j.spec.id(), List.of());
         Map<Integer, String> nominated = new HashMap<>();
-        for (Reservation r : old) nominated.put(r.task(), r.machine());
-        for (int t = 0; t < j.spec.tasks(); t++) if (!j.wants(t, nowS)) {
-            release(j);
-            return; // one task still waits out its failure
+        for (Reservation r : old) {
+            nominated.put(r.task(), r.machine());
+        }
+        for (int t = 0; t < j.spec.tasks(); t++) {
+            if (!j.wants(t, nowS)) {
+                release(j);
+                return; // one task still waits out its failure
+            }
         }
         if (j.spec.tasks() > cluster.recordRoom(j)) {
             release(j);
             return; // what no record can hold must not start, and must not keep other records from being written
         }
         Resources need = j.spec.need();
-        Resources all = new Resources(need.cpus() * j.spec.tasks(), need.gpus() * j.spec.tasks(),
-                need.ramGb() * j.spec.tasks());
+        Resources all = new Resources(
+                need.cpus() * j.spec.tasks(), need.gpus() * j.spec.tasks(), need.ramGb() * j.spec.tasks());
         Team team = cluster.team(j.spec.team());
         Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
         if (team != null && !team.allows(used.plus(all))) {
@@ -317,14 +396,21 @@
                 } else {
                     if (nom != null) {
                         dropped.add(new Reservation(t, nom));
-                        if (on != null) on.pipelined = on.pipelined.minus(need);
+                        if (on != null) {
+                            on.pipelined = on.pipelined.minus(need);
+                        }
                     }
                     on = scan(j, zone, perZone, nom);
                 }
-                if (on == null) break;
+                if (on == null) {
+                    break;
+                }
                 perZone.merge(on.machine.zone, 1, Integer::sum);
-                if (on.fitsNow(need)) s.allocate(t, on);
-                else s.pipeline(t, on);
+                if (on.fitsNow(need)) {
+                    s.allocate(t, on);
+                } else {
+                    s.pipeline(t, on);
+                }
             }
             boolean ready = s.ready(j.spec.tasks());
             if (ready || best == null && s.pipelined(j.spec.tasks())) {
@@ -332,17 +418,25 @@
                     best.discard();
                 }
                 best = s;
-                for (Reservation r : dropped) nominated.remove(r.task());
-                if (ready) break;
+                for (Reservation r : dropped) {
+                    nominated.remove(r.task());
+                }
+                if (ready) {
+                    break;
+                }
             } else {
                 s.discard();
                 // Reservations dropped for a try that failed are put back for the next zone's try.
                 for (Reservation r : dropped) {
                     Node n = nodes.get(r.machine());
-                    if (n != null) n.pipelined = n.pipelined.plus(need);
+                    if (n != null) {
+                        n.pipelined = n.pipelined.plus(need);
+                    }
                 }
             }
-            if (best != null) break;
+            if (best != null) {
+                break;
+            }
         }
         if (best == null) {
             release(j);
@@ -365,16 +459,23 @@
         }
         for (String m : nominated) {
             Node n = nodes.get(m);
-            if (n != null && !l.contains(n.machine.zone)) l.add(n.machine.zone);
+            if (n != null && !l.contains(n.machine.zone)) {
+                l.add(n.machine.zone);
+            }
+        }
+        for (Node n : nodes.values()) {
+            if (!l.contains(n.machine.zone)) {
+                l.add(n.machine.zone);
+            }
         }
-        for (Node n : nodes.values()) if (!l.contains(n.machine.zone)) l.add(n.machine.zone);
         return l;
     }
 
     private boolean allowed(Job j, Node n, String zone, Map<String, Integer> perZone) {
         Machine m = n.machine;
         return (m.heldFor == null || m.heldFor.equals(j.spec.id()))
-                && j.spec.allows(m.type.name(), m.zone, m.spot) && (zone == null || zone.equals(m.zone))
+                && j.spec.allows(m.type.name(), m.zone, m.spot)
+                && (zone == null || zone.equals(m.zone))
                 && (!j.spec.apart() || perZone.getOrDefault(m.zone, 0) < j.spec.zoneMost());
     }
 
@@ -386,7 +487,9 @@
         double laterCost = Double.MAX_VALUE;
         Resources need = j.spec.need();
         for (Node n : nodes.values()) {
-            if (!allowed(j, n, zone, perZone)) continue;
+            if (!allowed(j, n, zone, perZone)) {
+                continue;
+            }
             double c = cost(j, n) - (n.machine.name.equals(before) ? 0.5 : 0);
             if (n.fitsNow(need)) {
                 if (c < nowCost) {
@@ -405,7 +508,9 @@
     private double cost(Job j, Node n) {
         Machine m = n.machine;
         double c = m.images.contains(j.spec.image()) ? 0 : j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
-        if (j.spec.need().gpus() == 0 && m.type.size().gpus() > 0) c += 30;
+        if (j.spec.need().gpus() == 0 && m.type.size().gpus() > 0) {
+            c += 30;
+        }
         c += 4 * (1 - n.busyShare()) + 5 * m.failures;
         return c;
     }
@@ -415,35 +520,55 @@
         Team team = cluster.team(j.spec.team());
         Resources used = usage.getOrDefault(j.spec.team(), Resources.ZERO);
         int budget = cluster.recordRoom(j);
-        if (budget <= 0) return;
+        if (budget <= 0) {
+            return;
+        }
         List<Node> fit = new ArrayList<>();
         for (Node n : nodes.values()) {
-            if (n.machine.heldFor != null) continue;
-            if (spilled && (n.machine.type.size().gpus() == 0 || n.machine.noSpillUntilS > nowS)) continue;
+            if (n.machine.heldFor != null) {
+                continue;
+            }
+            if (spilled && (n.machine.type.size().gpus() == 0 || n.machine.noSpillUntilS > nowS)) {
+                continue;
+            }
             if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot) && n.countNow(need, spilled) > 0) {
                 fit.add(n);
             }
         }
-        if (fit.isEmpty()) return;
+        if (fit.isEmpty()) {
+            return;
+        }
         Map<Node, Double> costs = new HashMap<>();
-        for (Node n : fit) costs.put(n, cost(j, n));
+        for (Node n : fit) {
+            costs.put(n, cost(j, n));
+        }
         fit.sort(Comparator.comparingDouble((Node n) -> costs.get(n)).thenComparing(n -> n.machine.name));
         Statement s = new Statement(j);
         Map<String, Integer> perZone = new HashMap<>();
         String only = null;
-        if (j.spec.oneZone() || j.spec.apart()) for (Placement p : j.placed.values()) {
-            perZone.merge(p.zone, 1, Integer::sum);
-            only = p.zone;
+        if (j.spec.oneZone() || j.spec.apart()) {
+            for (Placement p : j.placed.values()) {
+                perZone.merge(p.zone, 1, Integer::sum);
+                only = p.zone;
+            }
         }
         int task = j.done.nextClearBit(0);
         for (Node n : fit) {
             String zone = n.machine.zone;
-            if (j.spec.oneZone() && only != null && !only.equals(zone)) continue;
+            if (j.spec.oneZone() && only != null && !only.equals(zone)) {
+                continue;
+            }
             int k = n.countNow(need, spilled);
             while (k > 0 && budget > 0) {
-                while (task < j.spec.tasks() && !j.wants(task, nowS)) task++;
-                if (task >= j.spec.tasks()) break;
-                if (j.spec.apart() && perZone.getOrDefault(zone, 0) >= j.spec.zoneMost()) break;
+                while (task < j.spec.tasks() && !j.wants(task, nowS)) {
+                    task++;
+                }
+                if (task >= j.spec.tasks()) {
+                    break;
+                }
+                if (j.spec.apart() && perZone.getOrDefault(zone, 0) >= j.spec.zoneMost()) {
+                    break;
+                }
                 if (team != null && !team.allows(used.plus(need))) {
                     budget = 0;
                     break;
@@ -451,11 +576,15 @@
                 s.allocate(task++, n);
                 used = used.plus(need);
                 perZone.merge(zone, 1, Integer::sum);
-                if (only == null) only = zone;
+                if (only == null) {
+                    only = zone;
+                }
                 k--;
                 budget--;
             }
-            if (task >= j.spec.tasks() || budget <= 0) break;
+            if (task >= j.spec.tasks() || budget <= 0) {
+                break;
+            }
         }
         if (s.ready(1)) {
             usage.put(j.spec.team(), used);
@@ -478,37 +607,63 @@
         for (Placement p : j.placed.values()) {
             perZone.merge(p.zone, 1, Integer::sum);
             perMachine.merge(p.machine, 1, Integer::sum);
-            if (spec.oneZone()) only = p.zone;
+            if (spec.oneZone()) {
+                only = p.zone;
+            }
         }
         Statement s = new Statement(j);
         Node warm = j.placed.isEmpty() && spec.tasks() >= Constants.WARMING_TASKS ? warming(j) : null;
         for (int t = 0; t < spec.tasks() && budget > 0; t++) {
-            if (!j.wants(t, nowS)) continue;
-            if (team != null && !team.allows(used.plus(spec.need()))) break;
+            if (!j.wants(t, nowS)) {
+                continue;
+            }
+            if (team != null && !team.allows(used.plus(spec.need()))) {
+                break;
+            }
             Node best = null;
-            if (warm != null && t == spec.tasks() - 1 && (!spec.apart()
-                    || perZone.getOrDefault(warm.machine.zone, 0) < spec.zoneMost())) best = warm;
+            if (warm != null
+                    && t == spec.tasks() - 1
+                    && (!spec.apart() || perZone.getOrDefault(warm.machine.zone, 0) < spec.zoneMost())) {
+                best = warm;
+            }
             double least = Double.MAX_VALUE;
-            if (best == null) for (Node n : nodes.values()) {
-                Machine m = n.machine;
-                if (m.heldFor != null || !spec.allows(m.type.name(), m.zone, m.spot)) continue;
-                if (only != null && !only.equals(m.zone)) continue;
-                if (spec.apart() && perZone.getOrDefault(m.zone, 0) >= spec.zoneMost()) continue;
-                // Room on a cheap machine, made by stopping what ends anyway, is worth a moment.
-                if (times.mayWait(j) && (spec.need().gpus() == 0 && m.type.size().gpus() > 0 || times.lateS(j, m) > 0)) continue;
-                if (n.countBeside(spec.need()) < 1) continue;
-                double c = replicaCost(j, t, n) + Constants.REPLICAS_APART_S * perMachine.getOrDefault(m.name, 0);
-                if (c < least || c == least && m.name.compareTo(best.machine.name) < 0) {
-                    least = c;
-                    best = n;
+            if (best == null) {
+                for (Node n : nodes.values()) {
+                    Machine m = n.machine;
+                    if (m.heldFor != null || !spec.allows(m.type.name(), m.zone, m.spot)) {
+                        continue;
+                    }
+                    if (only != null && !only.equals(m.zone)) {
+                        continue;
+                    }
+                    if (spec.apart() && perZone.getOrDefault(m.zone, 0) >= spec.zoneMost()) {
+                        continue;
+                    }
+                    // Room on a cheap machine, made by stopping what ends anyway, is worth a moment.
+                    if (times.mayWait(j)
+                            && (spec.need().gpus() == 0 && m.type.size().gpus() > 0 || times.lateS(j, m) > 0)) {
+                        continue;
+                    }
+                    if (n.countBeside(spec.need()) < 1) {
+                        continue;
+                    }
+                    double c = replicaCost(j, t, n) + Constants.REPLICAS_APART_S * perMachine.getOrDefault(m.name, 0);
+                    if (c < least || c == least && m.name.compareTo(best.machine.name) < 0) {
+                        least = c;
+                        best = n;
+                    }
                 }
             }
-            if (best == null) break;
+            if (best == null) {
+                break;
+            }
             s.allocate(t, best);
             used = used.plus(spec.need());
             perZone.merge(best.machine.zone, 1, Integer::sum);
             perMachine.merge(best.machine.name, 1, Integer::sum);
-            if (spec.oneZone()) only = best.machine.zone;
+            if (spec.oneZone()) {
+                only = best.machine.zone;
+            }
             budget--;
         }
         if (s.ready(1)) {
@@ -524,17 +679,25 @@
      */
     private Node warming(Job j) {
         JobSpec s = j.spec;
-        if (s.oneZone() || s.need().gpus() > 0) return null;
+        if (s.oneZone() || s.need().gpus() > 0) {
+            return null;
+        }
         Node best = null;
         int most = 0;
         int warm = 0;
         for (Node n : nodes.values()) {
             Machine m = n.machine;
-            if (m.type.size().gpus() > 0 || m.heldFor != null || !s.allows(m.type.name(), m.zone, m.spot)) continue;
+            if (m.type.size().gpus() > 0 || m.heldFor != null || !s.allows(m.type.name(), m.zone, m.spot)) {
+                continue;
+            }
             int holds = s.need().countIn(m.type.size());
-            if (times.lateS(j, m) <= 0 && !m.images.contains(s.image())) return null; // cold ones are no trouble
+            if (times.lateS(j, m) <= 0 && !m.images.contains(s.image())) {
+                return null; // cold ones are no trouble
+            }
             if (times.fetchS(j, m) < s.imageGb() / Math.max(0.01, m.type.fetchGbPerS())) {
-                if (holds >= s.tasks()) warm++;
+                if (holds >= s.tasks()) {
+                    warm++;
+                }
             } else if (holds > most && n.countBeside(s.need()) > 0) {
                 most = holds;
                 best = n;
@@ -551,10 +714,16 @@
         Machine m = n.machine;
         double c = times.fetchS(j, m) * Constants.EARLIER_WORTH + times.lateS(j, m) * Constants.LATER_COST;
         boolean first = true;
-        for (Placement p : m.placed.values()) first &= !p.job.spec.service();
+        for (Placement p : m.placed.values()) {
+            first &= !p.job.spec.service();
+        }
         // The first replica keeps the whole machine from being returned; those that join it cost nothing more.
-        if (first) c += Math.min(Constants.KEPT_MOST_S, m.type.price(m.spot) / cheapestPrice * Constants.KEPT_S);
-        if (m.name.equals(j.avoid.get(task))) c += Constants.ENDED_HERE_S;
+        if (first) {
+            c += Math.min(Constants.KEPT_MOST_S, m.type.price(m.spot) / cheapestPrice * Constants.KEPT_S);
+        }
+        if (m.name.equals(j.avoid.get(task))) {
+            c += Constants.ENDED_HERE_S;
+        }
         return c + 2 * (1 - n.busyShare()) + 5 * m.failures;
     }
 
--- a/src/main/java/org/mountlug/core/allocate/Node.java
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -54,8 +54,8 @@
     /** The same; spilled work may have the whole machine. */
     public int countNow(Resources need, boolean spilled) {
         Resources f = future();
-        Resources room = new Resources(Math.min(idle.cpus(), f.cpus()), Math.min(idle.gpus(), f.gpus()),
-                Math.min(idle.ramGb(), f.ramGb()));
+        Resources room = new Resources(
+                Math.min(idle.cpus(), f.cpus()), Math.min(idle.gpus(), f.gpus()), Math.min(idle.ramGb(), f.ramGb()));
         Resources size = machine.type == null ? Resources.ZERO : machine.type.size();
         if (!spilled && need.gpus() == 0 && size.gpus() > 0) {
             double part = Math.max(0, room.gpus()) / size.gpus();
@@ -63,23 +63,32 @@
             // What runs beside accelerator work must not be in the way of a gang that could take its place.
             Resources beside = size.minus(companions);
             for (Placement p : machine.placed.values()) {
-                if (p.job.spec.need().gpus() == 0 && !p.standby) beside = beside.minus(p.job.spec.need());
+                if (p.job.spec.need().gpus() == 0 && !p.standby) {
+                    beside = beside.minus(p.job.spec.need());
+                }
             }
             beside = beside.minus(new Resources(taken.cpus(), 0, taken.ramGb()));
-            room = new Resources(Math.min(room.cpus(), beside.cpus()), room.gpus(), Math.min(room.ramGb(), beside.ramGb()));
+            room = new Resources(
+                    Math.min(room.cpus(), beside.cpus()), room.gpus(), Math.min(room.ramGb(), beside.ramGb()));
         }
         return need.countIn(room);
     }
 
     /** How many replicas fit now: on an accelerator machine only beside all the accelerator work that it could hold. */
     public int countBeside(Resources need) {
-        if (need.gpus() > 0 || machine.type.size().gpus() == 0 || companionsOfAll.isZero()) return countNow(need);
+        if (need.gpus() > 0 || machine.type.size().gpus() == 0 || companionsOfAll.isZero()) {
+            return countNow(need);
+        }
         Resources f = future();
         Resources beside = machine.type.size().minus(companionsOfAll).minus(taken);
         for (Placement p : machine.placed.values()) {
-            if (p.job.spec.need().gpus() == 0 && !p.standby) beside = beside.minus(p.job.spec.need());
+            if (p.job.spec.need().gpus() == 0 && !p.standby) {
+                beside = beside.minus(p.job.spec.need());
+            }
         }
-        return need.countIn(new Resources(Math.min(Math.min(idle.cpus(), f.cpus()), beside.cpus()), 0,
+        return need.countIn(new Resources(
+                Math.min(Math.min(idle.cpus(), f.cpus()), beside.cpus()),
+                0,
                 Math.min(Math.min(idle.ramGb(), f.ramGb()), beside.ramGb())));
     }
 
--- a/src/main/java/org/mountlug/core/allocate/ReplicaTimes.java
+++ b/src/main/java/org/mountlug/core/allocate/ReplicaTimes.java
@@ -1,12 +1,11 @@
 package org.mountlug.core.allocate;
 
+import java.util.function.ToDoubleFunction;
 import org.mountlug.Constants;
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.Placement;
 
-import java.util.function.ToDoubleFunction;
-
 /**
  * When a replica would run if it were started on a machine now: fetching its image takes most of it.
  *
@@ -16,11 +15,15 @@
 
     /** Seconds until the image is there. */
     public double fetchS(Job j, Machine m) {
-        if (m.images.contains(j.spec.image())) return 0;
+        if (m.images.contains(j.spec.image())) {
+            return 0;
+        }
         double fetch = j.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS());
         for (Placement p : m.placed.values()) {
             // That one's fetch is under way, and one serves both.
-            if (p.job.spec.image().equals(j.spec.image())) return fetch * Constants.FETCH_SHARED;
+            if (p.job.spec.image().equals(j.spec.image())) {
+                return fetch * Constants.FETCH_SHARED;
+            }
         }
         return fetch;
     }
--- a/src/main/java/org/mountlug/core/allocate/Statement.java
+++ b/src/main/java/org/mountlug/core/allocate/Statement.java
@@ -1,10 +1,9 @@
 package org.mountlug.core.allocate;
 
-import org.mountlug.core.model.Job;
-import org.mountlug.core.model.Reservation;
-
 import java.util.ArrayList;
 import java.util.List;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Reservation;
 
 /**
  * The tentative placements of one job in one round. They take room in the round's view at once; a commit keeps them,
@@ -23,7 +22,9 @@
 
     public void allocate(int task, Node n) {
         n.idle = n.idle.minus(job.spec.need());
-        if (job.spec.need().gpus() == 0) n.taken = n.taken.plus(job.spec.need());
+        if (job.spec.need().gpus() == 0) {
+            n.taken = n.taken.plus(job.spec.need());
+        }
         ops.add(new Op(task, n, false));
     }
 
@@ -38,7 +39,11 @@
 
     public int allocated() {
         int k = 0;
-        for (Op o : ops) if (!o.pipelined()) k++;
+        for (Op o : ops) {
+            if (!o.pipelined()) {
+                k++;
+            }
+        }
         return k;
     }
 
@@ -71,8 +76,11 @@
     public void discard() {
         for (int i = ops.size() - 1; i >= 0; i--) {
             Op o = ops.get(i);
-            if (o.pipelined()) o.node().pipelined = o.node().pipelined.minus(job.spec.need());
-            else o.node().idle = o.node().idle.plus(job.spec.need());
+            if (o.pipelined()) {
+                o.node().pipelined = o.node().pipelined.minus(job.spec.need());
+            } else {
+                o.node().idle = o.node().idle.plus(job.spec.need());
+            }
         }
         ops.clear();
     }
--- a/src/main/java/org/mountlug/core/allocate/TeamQueues.java
+++ b/src/main/java/org/mountlug/core/allocate/TeamQueues.java
@@ -1,10 +1,5 @@
 package org.mountlug.core.allocate;
 
-import org.mountlug.Constants;
-import org.mountlug.core.model.Job;
-import org.mountlug.core.model.Resources;
-import org.mountlug.core.model.Team;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,7 +9,10 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
-
+import org.mountlug.Constants;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Resources;
+import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
 
 /**
@@ -26,17 +24,25 @@
     private final EnumMap<Urgency, Map<String, ArrayDeque<Job>>> queues = new EnumMap<>(Urgency.class);
     /** Jobs that have waited too long to begin: ahead of everything, the oldest first. */
     private final ArrayDeque<Job> overdue = new ArrayDeque<>();
+
     private final Function<String, Team> teams;
     private final Map<String, Resources> usage;
     private final Resources whole;
 
-    public TeamQueues(Iterable<Job> jobs, ToDoubleFunction<Job> dueOrder, Function<String, Team> teams,
-                      Map<String, Resources> usage, Resources whole, double nowS) {
+    public TeamQueues(
+            Iterable<Job> jobs,
+            ToDoubleFunction<Job> dueOrder,
+            Function<String, Team> teams,
+            Map<String, Resources> usage,
+            Resources whole,
+            double nowS) {
         this.teams = teams;
         this.usage = usage;
         this.whole = whole;
         List<Job> sorted = new ArrayList<>();
-        for (Job j : jobs) sorted.add(j);
+        for (Job j : jobs) {
+            sorted.add(j);
+        }
         sorted.sort(Comparator.comparingDouble(dueOrder).thenComparing(j -> j.spec.id()));
         List<Job> late = new ArrayList<>();
         for (Job j : sorted) {
@@ -45,7 +51,8 @@
                 continue;
             }
             queues.computeIfAbsent(j.spec.urgency(), u -> new HashMap<>())
-                    .computeIfAbsent(j.spec.team(), t -> new ArrayDeque<>()).add(j);
+                    .computeIfAbsent(j.spec.team(), t -> new ArrayDeque<>())
+                    .add(j);
         }
         late.sort(Comparator.comparingLong(j -> j.spec.submittedMs()));
         overdue.addAll(late);
@@ -53,21 +60,29 @@
 
     /** The next job, or null; {@code usage} may change between calls. */
     public Job next() {
-        if (!overdue.isEmpty()) return overdue.poll();
+        if (!overdue.isEmpty()) {
+            return overdue.poll();
+        }
         for (int u = Urgency.values().length - 1; u >= 0; u--) {
             Map<String, ArrayDeque<Job>> level = queues.get(Urgency.values()[u]);
-            if (level == null) continue;
+            if (level == null) {
+                continue;
+            }
             String best = null;
             double least = Double.MAX_VALUE;
             for (Map.Entry<String, ArrayDeque<Job>> e : level.entrySet()) {
-                if (e.getValue().isEmpty()) continue;
+                if (e.getValue().isEmpty()) {
+                    continue;
+                }
                 double d = due(e.getKey());
                 if (d < least || d == least && (best == null || e.getKey().compareTo(best) < 0)) {
                     least = d;
                     best = e.getKey();
                 }
             }
-            if (best != null) return level.get(best).poll();
+            if (best != null) {
+                return level.get(best).poll();
+            }
         }
         return null;
     }
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -3,6 +3,14 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.mountlug.Constants;
 import org.mountlug.core.model.Cause;
 import org.mountlug.core.model.Job;
@@ -18,15 +26,6 @@
 import org.mountlug.core.model.Urgency;
 import org.mountlug.core.scale.Listed;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-
 /**
  * The leader's picture: live jobs, machines and what each may hold. A placement leaves it only with a proof that the
  * attempt is gone; see {@link #gone}. No I/O: reports, records and times come in, orders go out.
@@ -53,11 +52,13 @@
             return size() > 4000;
         }
     };
+
     private final Outcomes outcomes = new Outcomes();
     /** Machines that were condemned and are still there, as of the last round. */
     private int condemned;
     /** By class: the neediest accelerator job seen in this term. */
     private final Map<String, JobSpec> acceleratorNeeds = new HashMap<>();
+
     private boolean parts;
     private double recordChars = 8 * 1024 * Constants.VALUE_FILL - Constants.RECORD_FIXED_CHARS;
     private final Map<String, List<String>> expected = new HashMap<>();
@@ -79,7 +80,9 @@
     public Cluster(long token, double leaseS, Collection<Team> teams) {
         this.token = token;
         this.leaseS = leaseS;
-        for (Team t : teams) this.teams.put(t.name(), t);
+        for (Team t : teams) {
+            this.teams.put(t.name(), t);
+        }
     }
 
     /** Steady seconds since which we hear at all: a silence before is ours, not the machines'. */
@@ -118,7 +121,9 @@
     /** Characters of the longest name of a machine. */
     public int longestName() {
         int n = Constants.RECORD_MACHINE_NAME;
-        for (Machine m : machines.values()) n = Math.max(n, m.name.length());
+        for (Machine m : machines.values()) {
+            n = Math.max(n, m.name.length());
+        }
         return n;
     }
 
@@ -128,28 +133,41 @@
      * new task may need a machine of its own.
      */
     public int recordRoom(Job j) {
-        if (parts) return Integer.MAX_VALUE;
+        if (parts) {
+            return Integer.MAX_VALUE;
+        }
         int digits = Integer.toString(j.spec.tasks()).length();
         int task = digits + Long.toString(j.attempts + 1).length() + 2;
-        double used = j.spec.lane().length() + j.spec.team().length() + j.spec.image().length();
-        if (j.spec.types() != null) for (String t : j.spec.types()) used += t.length() + 3;
+        double used =
+                j.spec.lane().length() + j.spec.team().length() + j.spec.image().length();
+        if (j.spec.types() != null) {
+            for (String t : j.spec.types()) {
+                used += t.length() + 3;
+            }
+        }
         Object2ObjectOpenHashMap<String, Placement> last = new Object2ObjectOpenHashMap<>();
         Object2IntOpenHashMap<String> run = new Object2IntOpenHashMap<>();
         for (Placement p : j.placed.values()) {
             Placement before = last.put(p.machine, p);
-            if (before == null) used += p.machine.length() + Constants.RECORD_MACHINE_CHARS;
+            if (before == null) {
+                used += p.machine.length() + Constants.RECORD_MACHINE_CHARS;
+            }
             boolean goesOn = before != null && before.task == p.task - 1 && before.attempt == p.attempt;
             int n = goesOn ? run.getInt(p.machine) + 1 : 1;
             run.put(p.machine, n);
             // A run of two takes as much as two single ones; of more, at the worst every second one is left.
-            if (n <= 2 || n % 2 == 1) used += task;
+            if (n <= 2 || n % 2 == 1) {
+                used += task;
+            }
         }
         // Done ranges lie between open or placed tasks; a bit a task is the other way to write them.
         double bits = j.spec.tasks() / 6.0 + 8;
         int range = 2 * digits + 2;
         double done = Math.min(bits, range * (j.placed.size() + 1.0));
         double each = task + Constants.RECORD_MACHINE_NAME + Constants.RECORD_MACHINE_CHARS;
-        if (bits > range * (j.placed.size() + 1.0)) each += range;
+        if (bits > range * (j.placed.size() + 1.0)) {
+            each += range;
+        }
         return (int) Math.max(0, Math.floor((recordChars - used - done) / each));
     }
 
@@ -183,7 +201,11 @@
     public void catalogue(Collection<MachineType> l) {
         for (MachineType t : l) {
             types.put(t.name(), t);
-            for (Machine m : machines.values()) if (m.type != null && m.type.name().equals(t.name())) m.type = t;
+            for (Machine m : machines.values()) {
+                if (m.type != null && m.type.name().equals(t.name())) {
+                    m.type = t;
+                }
+            }
         }
     }
 
@@ -204,7 +226,9 @@
         for (Machine m : machines.values()) {
             for (Report.Item i : m.strays.values()) {
                 Job j = jobs.get(i.job());
-                if (j != null) u.merge(j.spec.team(), j.spec.need(), Resources::plus);
+                if (j != null) {
+                    u.merge(j.spec.team(), j.spec.need(), Resources::plus);
+                }
             }
         }
         return u;
@@ -218,10 +242,14 @@
     /** The same without preference: what the neediest accelerator work of any priority needs when it fills the type. */
     public Resources companionsOfAll(MachineType t) {
         Resources r = Resources.ZERO;
-        if (t.size().gpus() <= 0) return r;
+        if (t.size().gpus() <= 0) {
+            return r;
+        }
         for (JobSpec s : acceleratorNeeds.values()) {
             Resources n = s.need();
-            if (!n.fitsIn(t.size())) continue;
+            if (!n.fitsIn(t.size())) {
+                continue;
+            }
             double k = n.countIn(t.size());
             r = new Resources(Math.max(r.cpus(), n.cpus() * k), 0, Math.max(r.ramGb(), n.ramGb() * k));
         }
@@ -234,12 +262,20 @@
      */
     public Resources companions(MachineType t) {
         Resources r = Resources.ZERO;
-        if (t.size().gpus() <= 0) return r;
+        if (t.size().gpus() <= 0) {
+            return r;
+        }
         Urgency least = Urgency.PROD;
-        for (JobSpec s : acceleratorNeeds.values()) if (s.urgency().compareTo(least) < 0) least = s.urgency();
+        for (JobSpec s : acceleratorNeeds.values()) {
+            if (s.urgency().compareTo(least) < 0) {
+                least = s.urgency();
+            }
+        }
         for (JobSpec s : acceleratorNeeds.values()) {
             Resources n = s.need();
-            if (!n.fitsIn(t.size()) || s.urgency().compareTo(least) <= 0) continue;
+            if (!n.fitsIn(t.size()) || s.urgency().compareTo(least) <= 0) {
+                continue;
+            }
             double k = n.countIn(t.size());
             r = new Resources(Math.max(r.cpus(), n.cpus() * k), 0, Math.max(r.ramGb(), n.ramGb() * k));
         }
@@ -251,11 +287,13 @@
     /** Takes in a job as the state service has it, at the start of a term or when a user submitted it. */
     public void load(Job j, double nowS) {
         Long over = finished.get(j.spec.id());
-        if (over != null && j.stamp <= over) return;
+        if (over != null && j.stamp <= over) {
+            return;
+        }
         jobs.put(j.spec.id(), j);
         if (j.spec.need().gpus() > 0) {
-            acceleratorNeeds.merge(j.spec.lane(), j.spec,
-                    (a, b) -> a.need().cpus() >= b.need().cpus() ? a : b);
+            acceleratorNeeds.merge(
+                    j.spec.lane(), j.spec, (a, b) -> a.need().cpus() >= b.need().cpus() ? a : b);
         }
         for (Placement p : j.placed.values()) {
             Machine m = machines.get(p.machine);
@@ -270,20 +308,29 @@
 
     /** A user's abort became durable: nothing that has not been sent may start, the rest must stop. */
     public void cancelled(Job j, double nowS) {
-        if (!j.cancelled) note("cancelled " + j.spec.id());
+        if (!j.cancelled) {
+            note("cancelled " + j.spec.id());
+        }
         j.cancelled = true;
         reservations.remove(j.spec.id());
         for (Placement p : new ArrayList<>(j.placed.values())) {
-            if (p.version > 0 && p.startSentIn < 0 && !p.startAtLarge && !p.seen) drop(p); // ours, no start ever left
-            else p.stop(0);
+            if (p.version > 0 && p.startSentIn < 0 && !p.startAtLarge && !p.seen) {
+                drop(p); // ours, no start ever left
+            } else {
+                p.stop(0);
+            }
+        }
+        if (j.over()) {
+            j.touch(nowS, true);
         }
-        if (j.over()) j.touch(nowS, true);
     }
 
     /** What was decided of a job cannot be made durable: tasks that never had a start give back the room they hold. */
     public void withdraw(Job j, double untilS) {
         for (Placement p : new ArrayList<>(j.placed.values())) {
-            if (p.startSentIn >= 0 || p.startAtLarge || p.seen || j.durable(p.task, p.version)) continue;
+            if (p.startSentIn >= 0 || p.startAtLarge || p.seen || j.durable(p.task, p.version)) {
+                continue;
+            }
             drop(p);
         }
         j.pausedUntilS = untilS; // or others of its tasks would take the room at once
@@ -293,10 +340,17 @@
     public boolean roomElsewhere(Placement p) {
         JobSpec s = p.job.spec;
         for (Machine m : machines.values()) {
-            if (!m.usable() || m.heldFor != null || m.name.equals(p.machine) || !m.strays.isEmpty()) continue;
-            if (!s.allows(m.type.name(), m.zone, m.spot) || !s.need().fitsIn(m.type.size().minus(m.used()))) continue;
+            if (!m.usable() || m.heldFor != null || m.name.equals(p.machine) || !m.strays.isEmpty()) {
+                continue;
+            }
+            if (!s.allows(m.type.name(), m.zone, m.spot)
+                    || !s.need().fitsIn(m.type.size().minus(m.used()))) {
+                continue;
+            }
             // Its own place in its zone comes free with it.
-            if (m.zone.equals(p.zone) || !s.oneZone() && p.job.zoneAllows(m.zone, 1)) return true;
+            if (m.zone.equals(p.zone) || !s.oneZone() && p.job.zoneAllows(m.zone, 1)) {
+                return true;
+            }
         }
         return false;
     }
@@ -322,7 +376,9 @@
     private void drop(Placement p) {
         p.job.placed.remove(p.task);
         Machine m = machines.get(p.machine);
-        if (m != null) m.placed.remove(p.name());
+        if (m != null) {
+            m.placed.remove(p.name());
+        }
     }
 
     /** The attempt is proven gone, without a result. */
@@ -331,19 +387,29 @@
         Job j = p.job;
         // A replica that is gone is missed by the second, and so is the room for one.
         roomCameFree |= !reservations.isEmpty() || serviceWaits || j.spec.service() && !j.cancelled;
-        if (retryS > 0) j.notBefore.put(p.task, nowS + retryS);
+        if (retryS > 0) {
+            j.notBefore.put(p.task, nowS + retryS);
+        }
         j.touch(p.task, nowS, j.cancelled);
         note("lost " + p.name() + " try " + p.attempt + " on " + p.machine + ": " + why);
         // What remains of a gang can neither go on nor be completed: a new attempt needs it out of the way.
-        if (j.spec.gang()) for (Placement q : j.placed.values()) q.stop(0);
+        if (j.spec.gang()) {
+            for (Placement q : j.placed.values()) {
+                q.stop(0);
+            }
+        }
     }
 
     // ---- reports ----------------------------------------------------------------------------------------------
 
     /** Takes in a worker's report and says what to answer; null means the reporter knows a newer leader than us. */
     public List<Order> report(Report r, boolean mayStart, double nowS) {
-        if (r.token() > token) return null;
-        if (departed.containsKey(r.machine())) return List.of(); // a late word of a machine that was returned
+        if (r.token() > token) {
+            return null;
+        }
+        if (departed.containsKey(r.machine())) {
+            return List.of(); // a late word of a machine that was returned
+        }
         Machine m = machines.get(r.machine());
         if (m == null) {
             m = new Machine(r.machine(), nowS);
@@ -351,8 +417,10 @@
             note("found " + m.name + " " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : ""));
         }
         if (!r.newerThan(m.session, m.sequence)) {
-            // Overtaken by the answer to orders sent straight to the worker, it may still be the one report that it waits
-            // for, and then what we answer renews its lease. A copy of a report that we had is no such thing, nor is one
+            // Overtaken by the answer to orders sent straight to the worker, it may still be the one report that it
+            // waits
+            // for, and then what we answer renews its lease. A copy of a report that we had is no such thing, nor is
+            // one
             // that a later report has followed.
             if (r.session() == m.session && r.sequence() > m.reportSequence) {
                 m.reportSequence = r.sequence();
@@ -365,13 +433,18 @@
             m.idleSinceS = nowS;
         }
         boolean served = m.synced && !m.deaf;
-        if (r.session() > m.session && m.sequence >= 0) m.deaf = true;
-        else if (r.token() == token && r.sequence() == m.sequence + 1 && nowS - m.heardS < Constants.STAYED_S) m.deaf = false;
+        if (r.session() > m.session && m.sequence >= 0) {
+            m.deaf = true;
+        } else if (r.token() == token && r.sequence() == m.sequence + 1 && nowS - m.heardS < Constants.STAYED_S) {
+            m.deaf = false;
+        }
         m.type = types.get(r.type());
         m.zone = r.zone();
         m.spot = r.spot();
         m.address = r.address();
-        if (nowS - m.heardS > leaseS / 2) m.gapS = nowS;
+        if (nowS - m.heardS > leaseS / 2) {
+            m.gapS = nowS;
+        }
         m.heardS = nowS;
         if (r.session() != m.session) {
             m.ended.clear();
@@ -381,17 +454,26 @@
         m.sequence = r.sequence();
         m.reportSequence = r.sequence();
         if (!Double.isNaN(r.recallS())) {
-            if (Double.isNaN(m.takenS)) note("notice for " + m.name + ": taken in " + r.recallS() + " s");
+            if (Double.isNaN(m.takenS)) {
+                note("notice for " + m.name + ": taken in " + r.recallS() + " s");
+            }
             m.takenS = nowS + r.recallS();
         }
         // A report under an older token may be followed by an older leader's word; it proves nothing.
         m.synced = r.token() == token;
         // Nothing could be given to it until now, so it has not been idle; else what comes back from a cut is returned.
-        if (!served && m.synced && !m.deaf) m.idleSinceS = nowS;
-        if (m.synced && !m.deaf) m.unheardSinceS = Double.NaN;
-        else if (Double.isNaN(m.unheardSinceS)) m.unheardSinceS = nowS;
+        if (!served && m.synced && !m.deaf) {
+            m.idleSinceS = nowS;
+        }
+        if (m.synced && !m.deaf) {
+            m.unheardSinceS = Double.NaN;
+        } else if (Double.isNaN(m.unheardSinceS)) {
+            m.unheardSinceS = nowS;
+        }
         m.answeredS = nowS;
-        if (!m.synced) return stops(m, r);
+        if (!m.synced) {
+            return stops(m, r);
+        }
         return settle(m, r, mayStart, nowS);
     }
 
@@ -403,7 +485,9 @@
         List<Order> orders = new ArrayList<>();
         for (Report.Item i : r.tasks()) {
             Placement p = m.placed.get(i.job() + "/" + i.task());
-            if (p == null || p.attempt != i.attempt() || !p.job.cancelled || i.state() == TaskState.EXITED) continue;
+            if (p == null || p.attempt != i.attempt() || !p.job.cancelled || i.state() == TaskState.EXITED) {
+                continue;
+            }
             orders.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
         }
         return orders;
@@ -417,15 +501,23 @@
      * slot that waits for a report is idle. Marks them as sent.
      */
     public List<Order> urgent(Machine m, boolean mayStart, boolean every, double nowS) {
-        if (!m.synced || m.deaf || m.address == null) return List.of();
+        if (!m.synced || m.deaf || m.address == null) {
+            return List.of();
+        }
         List<Order> l = new ArrayList<>();
         for (Placement p : m.placed.values()) {
-            if (p.session != m.session || jobs.get(p.job.spec.id()) != p.job) continue;
+            if (p.session != m.session || jobs.get(p.job.spec.id()) != p.job) {
+                continue;
+            }
             if (p.stopping && p.seen && !p.stopSent && p.state != TaskState.EXITED && (mayStart || p.job.cancelled)) {
                 p.stopSent = true;
                 l.add(new Order(Order.Verb.STOP, p.name(), p.attempt, p.leewayS));
-            } else if (mayStart && startable(m, p)
-                    && (every || p.job.spec.gang() || p.job.spec.service() || p.job.spec.need().gpus() > 0)) {
+            } else if (mayStart
+                    && startable(m, p)
+                    && (every
+                            || p.job.spec.gang()
+                            || p.job.spec.service()
+                            || p.job.spec.need().gpus() > 0)) {
                 p.startAtLarge = true;
                 p.sentS = nowS;
                 m.atLarge.add(Machine.key(p.job.spec.id(), p.task, p.attempt));
@@ -436,17 +528,29 @@
     }
 
     private boolean startable(Machine m, Placement p) {
-        return p.startSentIn < 0 && !p.startAtLarge && !p.seen && !p.stopping && !p.standby && !p.job.cancelled
-                && Double.isNaN(p.sentS) && p.session == m.session && p.job.durable(p.task, p.version);
+        return p.startSentIn < 0
+                && !p.startAtLarge
+                && !p.seen
+                && !p.stopping
+                && !p.standby
+                && !p.job.cancelled
+                && Double.isNaN(p.sentS)
+                && p.session == m.session
+                && p.job.durable(p.task, p.version);
     }
 
     /** Nothing of these orders was carried out, nor ever will be. */
     public void refused(Machine m, long session, List<Order> orders) {
-        if (m.session != session) return;
+        if (m.session != session) {
+            return;
+        }
         for (Order o : orders) {
             Placement p = m.placed.get(o.task());
-            // Not sent straight again, or a worker that refuses connections is called ten times a second; answers carry it.
-            if (p == null || p.attempt != o.attempt() || o.verb() == Order.Verb.STOP) continue;
+            // Not sent straight again, or a worker that refuses connections is called ten times a second; answers carry
+            // it.
+            if (p == null || p.attempt != o.attempt() || o.verb() == Order.Verb.STOP) {
+                continue;
+            }
             p.startAtLarge = false;
             m.atLarge.remove(Machine.key(p.job.spec.id(), p.task, p.attempt));
         }
@@ -457,21 +561,31 @@
      * still come by an answer on its way, so it only shows what is there.
      */
     public void carriedOut(Machine m, Report r, List<Order> orders, double nowS) {
-        if (r.token() > token || machines.get(m.name) != m || r.session() != m.session) return;
+        if (r.token() > token || machines.get(m.name) != m || r.session() != m.session) {
+            return;
+        }
         for (Order o : orders) {
-            if (o.verb() != Order.Verb.START) continue;
+            if (o.verb() != Order.Verb.START) {
+                continue;
+            }
             Placement p = m.placed.get(o.task());
-            if (p == null || p.attempt != o.attempt()) continue;
+            if (p == null || p.attempt != o.attempt()) {
+                continue;
+            }
             p.startAtLarge = false;
             p.seen = true;
             m.atLarge.remove(Machine.key(p.job.spec.id(), p.task, p.attempt));
         }
-        if (!r.newerThan(m.session, m.sequence) || r.token() != token) return;
+        if (!r.newerThan(m.session, m.sequence) || r.token() != token) {
+            return;
+        }
         m.sequence = r.sequence();
         m.heardS = nowS;
         for (Report.Item i : r.tasks()) {
             Placement p = m.placed.get(i.job() + "/" + i.task());
-            if (p == null || p.attempt != i.attempt()) continue;
+            if (p == null || p.attempt != i.attempt()) {
+                continue;
+            }
             shown(m, p, i, Machine.key(i.job(), i.task(), i.attempt()), nowS);
         }
     }
@@ -482,9 +596,13 @@
      */
     public boolean unanswerable(String machine, double nowS) {
         Machine m = machines.get(machine);
-        if (m == null || m.atLarge.isEmpty()) return false;
+        if (m == null || m.atLarge.isEmpty()) {
+            return false;
+        }
         for (Placement p : m.placed.values()) {
-            if (p.startAtLarge && !p.seen && nowS - p.sentS > Constants.AT_LARGE_S) return true;
+            if (p.startAtLarge && !p.seen && nowS - p.sentS > Constants.AT_LARGE_S) {
+                return true;
+            }
         }
         return false;
     }
@@ -497,7 +615,9 @@
             ended(m, p, i, key, nowS);
         } else if (i.state() == TaskState.RUNNING && Double.isNaN(p.runningS)) {
             p.runningS = nowS;
-            if (p.job.spec.service()) p.job.touch(p.task, nowS, false); // its user is told how many run
+            if (p.job.spec.service()) {
+                p.job.touch(p.task, nowS, false); // its user is told how many run
+            }
             m.images.remove(p.job.spec.image());
             m.images.add(p.job.spec.image());
         }
@@ -506,7 +626,9 @@
     private List<Order> settle(Machine m, Report r, boolean mayStart, double nowS) {
         List<Order> orders = new ArrayList<>();
         Map<String, Report.Item> shown = new HashMap<>();
-        for (Report.Item i : r.tasks()) shown.put(Machine.key(i.job(), i.task(), i.attempt()), i);
+        for (Report.Item i : r.tasks()) {
+            shown.put(Machine.key(i.job(), i.task(), i.attempt()), i);
+        }
         m.strays.clear();
         for (Placement p : new ArrayList<>(m.placed.values())) {
             if (p.session < m.session) {
@@ -531,7 +653,9 @@
                 Machine.Ended e = m.ended.get(key);
                 // Forgetting early would let a repeated start run it again, or lose the result.
                 // A start still at large would run it once more if it were forgotten.
-                if (m.atLarge.contains(key)) continue;
+                if (m.atLarge.contains(key)) {
+                    continue;
+                }
                 if (e == null || e.durable() || jobs.get(i.job()) != e.job()) {
                     m.ended.remove(key);
                     orders.add(new Order(Order.Verb.FORGET, name, i.attempt(), 0));
@@ -541,28 +665,42 @@
                 orders.add(new Order(Order.Verb.STOP, name, i.attempt(), 0));
             }
         }
-        if (mayStart) for (Placement p : m.placed.values()) {
-            if (p.startSentIn >= 0 || p.seen || p.stopping || p.job.cancelled || p.session != m.session) continue;
-            if (!p.job.durable(p.task, p.version) || jobs.get(p.job.spec.id()) != p.job) continue;
-            if (p.standby && !mayBegin(m, p)) continue;
-            p.standby = false;
-            p.startSentIn = r.sequence();
-            orders.add(new Order(Order.Verb.START, p.name(), p.attempt, 0));
+        if (mayStart) {
+            for (Placement p : m.placed.values()) {
+                if (p.startSentIn >= 0 || p.seen || p.stopping || p.job.cancelled || p.session != m.session) {
+                    continue;
+                }
+                if (!p.job.durable(p.task, p.version) || jobs.get(p.job.spec.id()) != p.job) {
+                    continue;
+                }
+                if (p.standby && !mayBegin(m, p)) {
+                    continue;
+                }
+                p.standby = false;
+                p.startSentIn = r.sequence();
+                orders.add(new Order(Order.Verb.START, p.name(), p.attempt, 0));
+            }
+        }
+        if (!m.empty()) {
+            m.idleSinceS = nowS;
         }
-        if (!m.empty()) m.idleSinceS = nowS;
         return orders;
     }
 
     /** Whether what a standby waited for has ended. */
     private static boolean mayBegin(Machine m, Placement p) {
-        return m.type != null && m.strays.isEmpty() && p.job.spec.need().fitsIn(m.type.size().minus(m.used()));
+        return m.type != null
+                && m.strays.isEmpty()
+                && p.job.spec.need().fitsIn(m.type.size().minus(m.used()));
     }
 
     /** Standbys whose room has come free become ordinary placements; those that waited too long are given up. */
     public void reviewStandbys(double nowS) {
         for (Machine m : machines.values()) {
             for (Placement p : new ArrayList<>(m.placed.values())) {
-                if (!p.standby) continue;
+                if (!p.standby) {
+                    continue;
+                }
                 if (mayBegin(m, p)) {
                     p.standby = false;
                 } else if (nowS - p.sinceS > Constants.STANDBY_MAX_S) {
@@ -580,13 +718,19 @@
             gone(p, nowS, 0, "not reported any more");
         } else if (p.startAtLarge) {
             // No proof of anything, but an answer may bring the same start sooner; see unanswerable.
-            if (r.sequence() > p.startSentIn) p.startSentIn = -1;
+            if (r.sequence() > p.startSentIn) {
+                p.startSentIn = -1;
+            }
         } else if (p.stopping) {
-            if (p.job.durable(p.task, p.version)) gone(p, nowS, 0, "stopped before it began");
+            if (p.job.durable(p.task, p.version)) {
+                gone(p, nowS, 0, "stopped before it began");
+            }
         } else if (p.startSentIn >= 0 && r.sequence() > p.startSentIn) {
-            // Once, an answer was lost; twice, the machine does not hear us, and what waits for it must not wait longer.
-            if (++p.ignored < Constants.IGNORED_STARTS) p.startSentIn = -1; // goes out again with this answer
-            else {
+            // Once, an answer was lost; twice, the machine does not hear us, and what waits for it must not wait
+            // longer.
+            if (++p.ignored < Constants.IGNORED_STARTS) {
+                p.startSentIn = -1; // goes out again with this answer
+            } else {
                 m.deaf = true;
                 gone(p, nowS, 0, "its start has no effect");
             }
@@ -601,11 +745,17 @@
             drop(p);
             roomCameFree |= !reservations.isEmpty() || serviceWaits;
             String why = outcomes.done(m, p, machines.size(), condemned, nowS);
-            if (why != null) note(why);
+            if (why != null) {
+                note(why);
+            }
             if (j.spec.gang()) { // a gang completes together
                 j.done.set(0, j.spec.tasks());
-                for (int t = 0; t < j.spec.tasks(); t = j.from(j.partOf(t) + 1)) j.touch(t, nowS, true);
-            } else j.done.set(p.task);
+                for (int t = 0; t < j.spec.tasks(); t = j.from(j.partOf(t) + 1)) {
+                    j.touch(t, nowS, true);
+                }
+            } else {
+                j.done.set(p.task);
+            }
             j.failures.remove(p.task);
             j.touch(p.task, nowS, j.complete());
         } else {
@@ -614,7 +764,9 @@
                 int n = j.failures.addTo(p.task, 1) + 1;
                 retry = Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 1));
                 String why = outcomes.failed(m, j);
-                if (why != null) note(why);
+                if (why != null) {
+                    note(why);
+                }
             } else if (i.cause() == Cause.FULL || i.cause() == Cause.BUSY || i.cause() == Cause.UNKNOWN) {
                 retry = Constants.REFUSED_RETRY_S;
             }
@@ -630,14 +782,22 @@
      */
     private double replicaEnded(Machine m, Placement p, Cause cause, double nowS) {
         Job j = p.job;
-        if (cause == Cause.STOPPED) return 0;
+        if (cause == Cause.STOPPED) {
+            return 0;
+        }
         j.avoid.put(p.task, m.name);
-        if (cause == Cause.FULL || cause == Cause.BUSY || cause == Cause.UNKNOWN) return Constants.REFUSED_RETRY_S;
-        if (!Double.isNaN(p.runningS) && nowS - p.runningS > Constants.SETTLED_S) j.failures.remove(p.task);
+        if (cause == Cause.FULL || cause == Cause.BUSY || cause == Cause.UNKNOWN) {
+            return Constants.REFUSED_RETRY_S;
+        }
+        if (!Double.isNaN(p.runningS) && nowS - p.runningS > Constants.SETTLED_S) {
+            j.failures.remove(p.task);
+        }
         int n = j.failures.addTo(p.task, 1) + 1;
         if (cause == Cause.ERROR) {
             String why = outcomes.failed(m, j);
-            if (why != null) note(why);
+            if (why != null) {
+                note(why);
+            }
         }
         return n < 2 ? 0 : Math.min(Constants.RETRY_MAX_S, Constants.RETRY_BASE_S * Math.pow(2, n - 2));
     }
@@ -648,8 +808,12 @@
     public void machineGone(String name, double nowS, String why) {
         Machine m = machines.remove(name);
         departed.put(name, nowS);
-        if (m == null) return;
-        for (Placement p : new ArrayList<>(m.placed.values())) gone(p, nowS, 0, why);
+        if (m == null) {
+            return;
+        }
+        for (Placement p : new ArrayList<>(m.placed.values())) {
+            gone(p, nowS, 0, why);
+        }
         note("gone " + name + ": " + why);
     }
 
@@ -659,15 +823,25 @@
      */
     public void expireLeases(double nowS) {
         condemned = 0;
-        for (Machine m : machines.values()) if (m.sick) condemned++;
+        for (Machine m : machines.values()) {
+            if (m.sick) {
+                condemned++;
+            }
+        }
         double after = leaseS * (1 + Constants.DRIFT) + Constants.PROOF_MARGIN_S;
         for (Machine m : machines.values()) {
-            if (!m.synced || Double.isNaN(m.answeredS) || nowS - m.answeredS <= after) continue;
+            if (!m.synced || Double.isNaN(m.answeredS) || nowS - m.answeredS <= after) {
+                continue;
+            }
             m.synced = false;
             m.deaf = true;
-            if (Double.isNaN(m.unheardSinceS)) m.unheardSinceS = nowS;
+            if (Double.isNaN(m.unheardSinceS)) {
+                m.unheardSinceS = nowS;
+            }
             m.strays.clear();
-            for (Placement p : new ArrayList<>(m.placed.values())) gone(p, nowS, 0, "lease ran out");
+            for (Placement p : new ArrayList<>(m.placed.values())) {
+                gone(p, nowS, 0, "lease ran out");
+            }
         }
     }
 
@@ -675,15 +849,21 @@
     public List<String> listed(List<Listed> l, double lagS, double nowS) {
         List<String> failed = new ArrayList<>();
         Set<String> names = new HashSet<>();
-        for (Listed x : l) names.add(x.name());
+        for (Listed x : l) {
+            names.add(x.name());
+        }
         for (Machine m : machines.values()) {
             boolean shown = names.contains(m.name);
-            if (shown && Double.isNaN(m.listedS)) m.listedS = nowS;
+            if (shown && Double.isNaN(m.listedS)) {
+                m.listedS = nowS;
+            }
             // Once listed it stays so until it is gone, and no list is older than twice the lag.
             m.unlisted = !shown && nowS - m.listedS > 2 * lagS + Constants.PROOF_MARGIN_S;
         }
         for (Listed x : l) {
-            if (departed.containsKey(x.name())) continue;
+            if (departed.containsKey(x.name())) {
+                continue;
+            }
             Machine m = machines.get(x.name());
             if (x.status() == Listed.Status.FAILED) {
                 machineGone(x.name(), nowS, "failed");
@@ -696,10 +876,18 @@
                 added(m);
             }
             m.running |= x.status() == Listed.Status.RUNNING;
-            if (m.type == null) m.type = types.get(x.type());
-            if (m.zone == null) m.zone = x.zone();
-            if (!m.up) m.spot = x.spot();
-            if (m.address == null) m.address = x.address();
+            if (m.type == null) {
+                m.type = types.get(x.type());
+            }
+            if (m.zone == null) {
+                m.zone = x.zone();
+            }
+            if (!m.up) {
+                m.spot = x.spot();
+            }
+            if (m.address == null) {
+                m.address = x.address();
+            }
         }
         return failed;
     }
@@ -707,19 +895,26 @@
     /** Images that an earlier leader saw on a machine; used once the machine is heard of. */
     public void expectImages(String machine, List<String> images) {
         Machine m = machines.get(machine);
-        if (m != null) m.images.addAll(images);
-        else expected.put(machine, images);
+        if (m != null) {
+            m.images.addAll(images);
+        } else {
+            expected.put(machine, images);
+        }
     }
 
     private Machine added(Machine m) {
         machines.put(m.name, m);
         List<String> l = expected.remove(m.name);
-        if (l != null) m.images.addAll(l);
+        if (l != null) {
+            m.images.addAll(l);
+        }
         return m;
     }
 
     public void rented(String name, String type, String zone, boolean spot, double nowS) {
-        if (departed.containsKey(name) || machines.containsKey(name)) return;
+        if (departed.containsKey(name) || machines.containsKey(name)) {
+            return;
+        }
         Machine m = new Machine(name, nowS);
         m.type = types.get(type);
         m.zone = zone;
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -1,17 +1,16 @@
 package org.mountlug.core.cluster;
 
-import org.mountlug.core.model.Job;
-import org.mountlug.core.model.MachineType;
-import org.mountlug.core.model.Placement;
-import org.mountlug.core.model.Report;
-import org.mountlug.core.model.Resources;
-
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.mountlug.core.model.Job;
+import org.mountlug.core.model.MachineType;
+import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Report;
+import org.mountlug.core.model.Resources;
 
 /** What the leader knows of a machine: what it may hold, what it last said, and what is planned for it. */
 public final class Machine {
@@ -30,6 +29,7 @@
 
     /** Session and sequence of the newest report. */
     public long session;
+
     public long sequence = -1;
     /** Sequence of the newest message that was a report, not the answer to orders sent straight here. */
     long reportSequence = -1;
@@ -46,6 +46,7 @@
     public double unheardSinceS = Double.NaN;
     /** Steady seconds when last heard of, and when it was rented (or first seen). */
     public double heardS;
+
     public double rentedS;
     public boolean up;
     /** Whether the cloud's list shows it running: then it has come up, whether we have heard of it or not. */
@@ -60,6 +61,7 @@
     public boolean releasing;
     /** Whether its failures have condemned it. */
     public boolean sick;
+
     public double idleSinceS;
     /** The gang for which it is kept from being filled again, or null. */
     public String heldFor;
@@ -69,15 +71,19 @@
     public final Map<String, Placement> placed = new LinkedHashMap<>();
     /** Attempts it reports that no record places here; they occupy room until they exit. */
     public final Map<String, Report.Item> strays = new HashMap<>();
+
     public final Map<String, Ended> ended = new HashMap<>();
     /** Attempts whose start was sent straight here and never answered for; not to be forgotten in this session. */
     public final Set<String> atLarge = new HashSet<>();
+
     public final Set<String> images = new LinkedHashSet<>();
     /** Jobs whose tasks failed here since the last success. */
     public final Set<String> failedJobs = new HashSet<>();
+
     public int failures;
     /** How much slower than others it ran its last tasks, and when that was last judged, see {@link Outcomes}. */
     double lag;
+
     double lagJudgedS = Double.NEGATIVE_INFINITY;
     /** Steady seconds of the end of its last longer silence: what ran then is not known to have ended when reported. */
     double gapS = Double.NEGATIVE_INFINITY;
@@ -105,26 +111,40 @@
 
     public Resources used() {
         Resources r = Resources.ZERO;
-        for (Placement p : placed.values()) if (!p.standby) r = r.plus(p.job.spec.need());
+        for (Placement p : placed.values()) {
+            if (!p.standby) {
+                r = r.plus(p.job.spec.need());
+            }
+        }
         return r;
     }
 
     public Resources stopping() {
         Resources r = Resources.ZERO;
-        for (Placement p : placed.values()) if (p.stopping && !p.standby) r = r.plus(p.job.spec.need());
+        for (Placement p : placed.values()) {
+            if (p.stopping && !p.standby) {
+                r = r.plus(p.job.spec.need());
+            }
+        }
         return r;
     }
 
     /** Steady seconds at which it should be up, by its type's nominal boot time. */
     public double expectedUpS(double nowS) {
-        if (up) return nowS;
+        if (up) {
+            return nowS;
+        }
         return Math.max(nowS + 1, rentedS + (type == null ? 60 : type.bootS()));
     }
 
     /** What replicas of services take here; nothing may count on that to come free. */
     public Resources services() {
         Resources r = Resources.ZERO;
-        for (Placement p : placed.values()) if (p.job.spec.service()) r = r.plus(p.job.spec.need());
+        for (Placement p : placed.values()) {
+            if (p.job.spec.service()) {
+                r = r.plus(p.job.spec.need());
+            }
+        }
         return r;
     }
 
--- a/src/main/java/org/mountlug/core/cluster/Outcomes.java
+++ b/src/main/java/org/mountlug/core/cluster/Outcomes.java
@@ -32,7 +32,9 @@
         m.failures = 0;
         // What began in an earlier term began at a time that we do not know: counted from our first look, all of it
         // would seem short, and what runs in full after it slow.
-        if (Double.isNaN(p.runningS) || p.version == 0) return null;
+        if (Double.isNaN(p.runningS) || p.version == 0) {
+            return null;
+        }
         double ran = Math.max(0.5, nowS - p.runningS);
         if (j.spec.expectedS() > 0 && j.spec.checkpointS() == 0) {
             double[] x = pace.computeIfAbsent(j.spec.lane(), k -> new double[2]);
@@ -54,10 +56,14 @@
         boolean judged = r[1] >= Constants.SLOW_COMPARED && p.runningS > m.gapS && nowS > m.lagJudgedS;
         r[0] += Math.min(log, mean + Constants.SLOW_MOST);
         r[1]++;
-        if (!judged) return null;
+        if (!judged) {
+            return null;
+        }
         m.lagJudgedS = nowS; // what ended together, ended late together
         m.lag = Math.max(0, m.lag + Math.min(Constants.SLOW_MOST, log - mean) - Constants.SLOW_ORDINARY);
-        if (m.lag < Constants.SLOW_CONDEMNED || m.sick || !may) return null;
+        if (m.lag < Constants.SLOW_CONDEMNED || m.sick || !may) {
+            return null;
+        }
         m.sick = true;
         return "quarantined " + m.name + ": it runs tasks slowly";
     }
@@ -69,9 +75,13 @@
     String failed(Machine m, Job j) {
         m.failures++;
         m.failedJobs.add(j.spec.id());
-        boolean worksElsewhere = !j.done.isEmpty() || j.spec.service() && j.placed.values().stream()
-                .anyMatch(p -> !p.machine.equals(m.name) && !Double.isNaN(p.runningS));
-        if (m.failures < Constants.SICK_FAILURES || m.failedJobs.size() < 2 && !worksElsewhere || m.sick) return null;
+        boolean worksElsewhere = !j.done.isEmpty()
+                || j.spec.service()
+                        && j.placed.values().stream()
+                                .anyMatch(p -> !p.machine.equals(m.name) && !Double.isNaN(p.runningS));
+        if (m.failures < Constants.SICK_FAILURES || m.failedJobs.size() < 2 && !worksElsewhere || m.sick) {
+            return null;
+        }
         m.sick = true;
         return "quarantined " + m.name + " after " + m.failures + " failures";
     }
--- a/src/main/java/org/mountlug/core/lead/Election.java
+++ b/src/main/java/org/mountlug/core/lead/Election.java
@@ -9,7 +9,14 @@
  */
 public final class Election {
     /** The one step to take now. */
-    public enum Step { NONE, LOOK, OPEN_HOLD, CAMPAIGN, RENEW, DROP_OLD_HOLD }
+    public enum Step {
+        NONE,
+        LOOK,
+        OPEN_HOLD,
+        CAMPAIGN,
+        RENEW,
+        DROP_OLD_HOLD
+    }
 
     private final String label;
     private final String nonce;
@@ -27,6 +34,7 @@
     private long oldHold;
     /** The leader's hold, 0 once given up for ended. */
     private long leaderHold;
+
     private double resignedUntilS = Double.NEGATIVE_INFINITY;
 
     /** @param nonce tells this process from an earlier one of the same label */
@@ -66,13 +74,21 @@
     }
 
     public Step next(double nowS) {
-        if (busy) return Step.NONE;
+        if (busy) {
+            return Step.NONE;
+        }
         if (leading) {
-            if (nowS - lastRenewS < Constants.HOLD_RENEW_MS / 1000.0) return Step.NONE;
+            if (nowS - lastRenewS < Constants.HOLD_RENEW_MS / 1000.0) {
+                return Step.NONE;
+            }
             return act(Step.RENEW);
         }
-        if (oldHold != 0) return act(Step.DROP_OLD_HOLD);
-        if (keyFree && nowS >= campaignAtS) return act(hold == 0 ? Step.OPEN_HOLD : Step.CAMPAIGN);
+        if (oldHold != 0) {
+            return act(Step.DROP_OLD_HOLD);
+        }
+        if (keyFree && nowS >= campaignAtS) {
+            return act(hold == 0 ? Step.OPEN_HOLD : Step.CAMPAIGN);
+        }
         if (!keyFree && nowS >= nextLookS) {
             nextLookS = nowS + Constants.CAMPAIGN_RETRY_MS / 1000.0;
             return act(Step.LOOK);
@@ -88,7 +104,9 @@
     /** The leader key was read; {@code who} null means there is none. {@code random} in [0,1). */
     public void looked(double nowS, String who, String itsNonce, long itsHold, long stamp, double random) {
         busy = false;
-        if (leading) return;
+        if (leading) {
+            return;
+        }
         if (who == null) {
             free(nowS, random);
             return;
@@ -97,7 +115,9 @@
         seenStamp = stamp;
         leader = who.equals(label) ? null : who;
         leaderHold = itsHold;
-        if (!who.equals(label)) return;
+        if (!who.equals(label)) {
+            return;
+        }
         if (nonce.equals(itsNonce) && itsHold == hold) {
             won(nowS, stamp); // a campaign whose answer was lost
         } else {
@@ -108,7 +128,9 @@
 
     /** The key was seen to vanish. */
     public void vanished(double nowS, double random) {
-        if (leading) return;
+        if (leading) {
+            return;
+        }
         free(nowS, random);
     }
 
@@ -125,7 +147,9 @@
      * its end, and for a while the campaign is theirs.
      */
     public void resign(double nowS) {
-        if (!leading) return;
+        if (!leading) {
+            return;
+        }
         oldHold = hold;
         depose();
         resignedUntilS = nowS + Constants.RESIGNED_S;
@@ -136,7 +160,9 @@
      * after all, it is deposed like any other, as every transaction of its is guarded by the key that goes with the hold.
      */
     public void leaderEnded(String who) {
-        if (leading || !who.equals(leader) || leaderHold == 0) return;
+        if (leading || !who.equals(leader) || leaderHold == 0) {
+            return;
+        }
         oldHold = leaderHold;
         leaderHold = 0;
     }
@@ -148,7 +174,9 @@
             nextLookS = nowS + Constants.CAMPAIGN_RETRY_MS / 1000.0;
             keyFree = false;
             hold = 0;
-        } else lastRenewS = nowS - Constants.HOLD_RENEW_MS / 1000.0 * 0.6;
+        } else {
+            lastRenewS = nowS - Constants.HOLD_RENEW_MS / 1000.0 * 0.6;
+        }
     }
 
     public void oldHoldDropped(double nowS) {
@@ -165,8 +193,9 @@
 
     public void campaigned(double nowS, boolean success, long epoch) {
         busy = false;
-        if (success) won(nowS, epoch);
-        else {
+        if (success) {
+            won(nowS, epoch);
+        } else {
             keyFree = false;
             hold = 0;
             nextLookS = nowS;
@@ -188,11 +217,15 @@
     /** A renewal was answered; {@code askedS} is when it was sent, the earliest moment from which it counts. */
     public void renewed(double askedS, boolean alive) {
         busy = false;
-        if (!leading) return;
+        if (!leading) {
+            return;
+        }
         if (alive) {
             lastRenewS = askedS;
             validUntilS = until(askedS);
-        } else depose();
+        } else {
+            depose();
+        }
     }
 
     /** A guarded transaction failed on the leader key, the hold ended, or a worker knows a higher token. */
--- a/src/main/java/org/mountlug/core/model/Cause.java
+++ b/src/main/java/org/mountlug/core/model/Cause.java
@@ -1,4 +1,14 @@
 package org.mountlug.core.model;
 
 /** Why an attempt ended. */
-public enum Cause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, FULL, BUSY, UNKNOWN, NONE }
+public enum Cause {
+    DONE,
+    STOPPED,
+    PEERS,
+    INCOMPLETE,
+    ERROR,
+    FULL,
+    BUSY,
+    UNKNOWN,
+    NONE
+}
--- a/src/main/java/org/mountlug/core/model/Order.java
+++ b/src/main/java/org/mountlug/core/model/Order.java
@@ -2,5 +2,9 @@
 
 /** A command for a worker. */
 public record Order(Verb verb, String task, long attempt, double leewayS) {
-    public enum Verb { START, STOP, FORGET }
+    public enum Verb {
+        START,
+        STOP,
+        FORGET
+    }
 }
--- a/src/main/java/org/mountlug/core/model/Urgency.java
+++ b/src/main/java/org/mountlug/core/model/Urgency.java
@@ -1,4 +1,9 @@
 package org.mountlug.core.model;
 
 /** Priority of a job, lowest first: only a strictly higher one may stop another's tasks. */
-public enum Urgency { IDLE, STANDARD, HIGH, PROD }
+public enum Urgency {
+    IDLE,
+    STANDARD,
+    HIGH,
+    PROD
+}
--- a/src/main/java/org/mountlug/core/scale/Listed.java
+++ b/src/main/java/org/mountlug/core/scale/Listed.java
@@ -2,5 +2,9 @@
 
 /** A machine as the cloud's lagging list shows it. */
 public record Listed(String name, String address, String type, String zone, boolean spot, Status status, double ageS) {
-    public enum Status { BOOTING, RUNNING, FAILED }
+    public enum Status {
+        BOOTING,
+        RUNNING,
+        FAILED
+    }
 }
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -1,5 +1,13 @@
 package org.mountlug.core.scale;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.mountlug.Constants;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
@@ -11,15 +19,6 @@
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.Team;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-
 /**
  * Decides which machines to rent and which to return. Queued work is laid, as a fluid, over the machines there are and
  * those that boot; what does not fit within a part of its slack is worth a new machine of the kind that serves it most
@@ -34,6 +33,7 @@
     private final double spotRisk;
     /** Kinds of machine that were refused, with the steady seconds until which they are not asked for. */
     private final Map<String, Double> exhausted = new HashMap<>();
+
     private long counter;
 
     public Scaler(Cluster cluster, Aims aims, double leaseS, double reportS, double idleKeepS, double spotRisk) {
@@ -61,6 +61,7 @@
         final double bootS;
         /** What work that ends may use of it; replicas take theirs off. */
         Resources size;
+
         double load;
 
         Vessel(MachineType type, String zone, boolean spot, double bootS) {
@@ -78,18 +79,27 @@
         /** How many tasks it takes within the horizon; one wave at least if it is still empty. */
         int takes(JobSpec s, double estS, double horizonS, int want) {
             int slots = s.need().countIn(size);
-            if (slots == 0) return 0;
+            if (slots == 0) {
+                return 0;
+            }
             if (s.service()) {
                 int k = Math.min(want, slots);
-                size = size.minus(new Resources(s.need().cpus() * k, s.need().gpus() * k, s.need().ramGb() * k));
+                size = size.minus(new Resources(
+                        s.need().cpus() * k, s.need().gpus() * k, s.need().ramGb() * k));
                 return k;
             }
             double t = Math.max(horizonS - bootS, bootS > 0 ? Math.min(estS, horizonS) : 0);
-            if (t <= 0) return 0;
+            if (t <= 0) {
+                return 0;
+            }
             double each = Math.min(estS, t) / slots;
             int k = (int) Math.min(want, Math.floor((t - load) / each + 1e-6));
-            if (s.gang()) k = Math.min(k, slots); // all of a gang runs at the same time, never in waves
-            if (k <= 0) return 0;
+            if (s.gang()) {
+                k = Math.min(k, slots); // all of a gang runs at the same time, never in waves
+            }
+            if (k <= 0) {
+                return 0;
+            }
             load += k * each;
             return k;
         }
@@ -114,18 +124,30 @@
         Set<String> silentZones = silentZones(nowS);
         List<Vessel> vessels = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
-            if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS)) continue;
+            if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS)) {
+                continue;
+            }
             boolean silent = m.cameUp() && cluster.silentS(m, nowS) > leaseS;
             // A silent machine that the cloud still lists is likely cut off, and back before a new one is up.
-            if (silent && (m.unlisted || Double.isNaN(m.listedS) || silentZones.contains(m.zone))) continue;
+            if (silent && (m.unlisted || Double.isNaN(m.listedS) || silentZones.contains(m.zone))) {
+                continue;
+            }
             // After an outage or a cut a whole room has lost its leases and is deaf until its next two reports: rented
             // for at once, it would be there twice.
             boolean back = m.up && !silent && m.deaf;
-            if (back && cluster.unheardS(m, nowS) > leaseS) continue;
-            Vessel v = new Vessel(m.type, m.zone, m.spot, silent ? m.type.bootS()
-                    : back ? Constants.HEARS_AGAIN_S : m.up ? 0 : m.expectedUpS(nowS) - nowS, m.type.size().minus(m.services()));
+            if (back && cluster.unheardS(m, nowS) > leaseS) {
+                continue;
+            }
+            Vessel v = new Vessel(
+                    m.type,
+                    m.zone,
+                    m.spot,
+                    silent ? m.type.bootS() : back ? Constants.HEARS_AGAIN_S : m.up ? 0 : m.expectedUpS(nowS) - nowS,
+                    m.type.size().minus(m.services()));
             for (Placement p : m.placed.values()) {
-                if (p.job.spec.service()) continue;
+                if (p.job.spec.service()) {
+                    continue;
+                }
                 double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
                 double left = Math.max(2, cluster.expectedS(p.job) - ran);
                 v.load += left * p.job.spec.need().shareOf(v.size);
@@ -135,9 +157,12 @@
         vessels.sort(Comparator.comparingDouble(v -> v.bootS));
         List<Job> jobs = new ArrayList<>();
         for (Job j : cluster.jobs.values()) {
-            if (!j.cancelled && wanting(j) > 0 && !cluster.reservations.containsKey(j.spec.id())) jobs.add(j);
+            if (!j.cancelled && wanting(j) > 0 && !cluster.reservations.containsKey(j.spec.id())) {
+                jobs.add(j);
+            }
         }
-        jobs.sort(Comparator.comparing((Job j) -> j.spec.urgency()).reversed()
+        jobs.sort(Comparator.comparing((Job j) -> j.spec.urgency())
+                .reversed()
                 .thenComparingDouble(j -> aims.dueEpochS(j.spec, cluster.expectedS(j))));
         Map<String, Resources> usage = cluster.usage();
         cluster.spilling.clear();
@@ -158,8 +183,11 @@
                 double c = team.cpusMax() > 0 ? team.cpusMax() - used.cpus() : 1e12;
                 double g = team.gpusMax() > 0 ? team.gpusMax() - used.gpus() : 1e12;
                 n = Math.min(n, s.need().countIn(new Resources(c, g, 1e12)));
-                if (n <= 0) continue;
-                usage.merge(s.team(), new Resources(s.need().cpus() * n, s.need().gpus() * n, 0), Resources::plus);
+                if (n <= 0) {
+                    continue;
+                }
+                usage.merge(
+                        s.team(), new Resources(s.need().cpus() * n, s.need().gpus() * n, 0), Resources::plus);
             }
             double est = cluster.expectedS(j);
             double horizon = horizonS(j, nowEpochS);
@@ -181,55 +209,90 @@
                 }
             }
         }
-        if (!spared) spare(vessels, wanted, out, silentZones, nowS, nowEpochS);
+        if (!spared) {
+            spare(vessels, wanted, out, silentZones, nowS, nowEpochS);
+        }
         return requests(out.values());
     }
 
     /** Tasks that need a machine: those without one, and replicas whose machine is about to go. */
     private static int wanting(Job j) {
         int n = j.open();
-        if (j.spec.service()) n += moving(j);
+        if (j.spec.service()) {
+            n += moving(j);
+        }
         return n;
     }
 
     private static int moving(Job j) {
         int n = 0;
-        for (Placement p : j.placed.values()) if (p.leaving) n++;
+        for (Placement p : j.placed.values()) {
+            if (p.leaving) {
+                n++;
+            }
+        }
         return n;
     }
 
     /** Rents for so many replicas what there is no room for, zone by zone where they must be apart. */
-    private void services(JobSpec s, int n, Job j, List<Vessel> vessels, Map<String, Integer> wanted,
-                          Map<String, Wish> out, Set<String> silentZones, double nowS) {
+    private void services(
+            JobSpec s,
+            int n,
+            Job j,
+            List<Vessel> vessels,
+            Map<String, Integer> wanted,
+            Map<String, Wish> out,
+            Set<String> silentZones,
+            double nowS) {
         boolean plain = s.need().gpus() == 0;
         Map<String, Integer> zoneLeft = new HashMap<>();
         if (s.apart()) {
             int most = j != null ? s.zoneMost() : (n + 1) / 2;
-            for (MachineType t : cluster.types()) for (String z : t.zones()) {
-                zoneLeft.put(z, most - (j == null ? 0 : j.placedIn(z)));
+            for (MachineType t : cluster.types()) {
+                for (String z : t.zones()) {
+                    zoneLeft.put(z, most - (j == null ? 0 : j.placedIn(z)));
+                }
             }
         }
         for (Vessel v : vessels) {
-            if (n <= 0) return;
-            if (!s.allows(v.type.name(), v.zone, v.spot) || plain && v.type.size().gpus() > 0) continue;
+            if (n <= 0) {
+                return;
+            }
+            if (!s.allows(v.type.name(), v.zone, v.spot)
+                    || plain && v.type.size().gpus() > 0) {
+                continue;
+            }
             int may = Math.min(n, zoneLeft.getOrDefault(v.zone, n));
-            if (may <= 0) continue;
+            if (may <= 0) {
+                continue;
+            }
             int k = v.takes(s, 0, 0, may);
             n -= k;
             zoneLeft.computeIfPresent(v.zone, (z, x) -> x - k);
         }
         zoneLeft.keySet().removeAll(silentZones);
         while (n > 0) {
-            int asked = s.apart() ? Math.min(n, zoneLeft.values().stream().mapToInt(x -> x).max().orElse(0)) : n;
-            if (asked <= 0) return;
+            int asked = s.apart()
+                    ? Math.min(
+                            n, zoneLeft.values().stream().mapToInt(x -> x).max().orElse(0))
+                    : n;
+            if (asked <= 0) {
+                return;
+            }
             Set<String> full = new HashSet<>(silentZones);
             zoneLeft.forEach((z, x) -> {
-                if (x < asked) full.add(z);
+                if (x < asked) {
+                    full.add(z);
+                }
             });
             int got = rent(s, 0, 0, asked, plain, vessels, wanted, out, full, nowS);
-            if (got <= 0 && plain) got = rent(s, 0, 0, asked, false, vessels, wanted, out, full, nowS);
+            if (got <= 0 && plain) {
+                got = rent(s, 0, 0, asked, false, vessels, wanted, out, full, nowS);
+            }
             if (got <= 0) {
-                if (!s.apart()) return;
+                if (!s.apart()) {
+                    return;
+                }
                 zoneLeft.keySet().removeIf(z -> !full.contains(z)); // nothing to be had there
                 continue;
             }
@@ -245,14 +308,20 @@
         Map<String, JobSpec> latest = new LinkedHashMap<>();
         Map<String, Integer> asked = new HashMap<>();
         for (Job j : cluster.jobs.values()) {
-            if (!j.spec.service() || nowEpochS - j.spec.submittedMs() / 1000.0 > Constants.SERVICE_RATE_S) continue;
+            if (!j.spec.service() || nowEpochS - j.spec.submittedMs() / 1000.0 > Constants.SERVICE_RATE_S) {
+                continue;
+            }
             latest.merge(j.spec.lane(), j.spec, (a, b) -> a.submittedMs() > b.submittedMs() ? a : b);
             asked.merge(j.spec.lane(), j.spec.tasks(), Integer::sum);
         }
         Map<JobSpec, Integer> out = new LinkedHashMap<>();
         for (JobSpec s : latest.values()) {
             double boot = Double.MAX_VALUE;
-            for (MachineType t : cluster.types()) if (s.allows(t)) boot = Math.min(boot, t.bootS());
+            for (MachineType t : cluster.types()) {
+                if (s.allows(t)) {
+                    boot = Math.min(boot, t.bootS());
+                }
+            }
             double n = asked.get(s.lane()) / Constants.SERVICE_RATE_S * (boot + Constants.SERVICE_ROOM_S);
             out.put(s, Math.max(s.tasks(), (int) Math.ceil(n)));
         }
@@ -263,8 +332,13 @@
      * Room for services that are yet to come, which cannot wait for a boot: as much as was lately asked for in the time
      * that one takes. Work that ends may use it meanwhile; a service takes its place.
      */
-    private void spare(List<Vessel> vessels, Map<String, Integer> wanted, Map<String, Wish> out, Set<String> silentZones,
-                       double nowS, double nowEpochS) {
+    private void spare(
+            List<Vessel> vessels,
+            Map<String, Integer> wanted,
+            Map<String, Wish> out,
+            Set<String> silentZones,
+            double nowS,
+            double nowEpochS) {
         expectedReplicas(nowEpochS).forEach((s, n) -> services(s, n, null, vessels, wanted, out, silentZones, nowS));
     }
 
@@ -272,46 +346,82 @@
     private static int pour(List<Vessel> vessels, JobSpec s, double est, double horizon, int n, boolean cheapOnly) {
         int taken = 0;
         for (Vessel v : vessels) {
-            if (taken >= n) break;
-            if (!s.allows(v.type.name(), v.zone, v.spot) || cheapOnly && v.type.size().gpus() > 0) continue;
+            if (taken >= n) {
+                break;
+            }
+            if (!s.allows(v.type.name(), v.zone, v.spot)
+                    || cheapOnly && v.type.size().gpus() > 0) {
+                continue;
+            }
             taken += v.takes(s, est, horizon, n - taken);
         }
         return taken;
     }
 
     /** Adds rentals for {@code n} tasks; returns how many they serve. */
-    private int rent(JobSpec s, double est, double horizon, int n, boolean cheapOnly, List<Vessel> vessels,
-                     Map<String, Integer> wanted, Map<String, Wish> out, Set<String> silentZones, double nowS) {
+    private int rent(
+            JobSpec s,
+            double est,
+            double horizon,
+            int n,
+            boolean cheapOnly,
+            List<Vessel> vessels,
+            Map<String, Integer> wanted,
+            Map<String, Wish> out,
+            Set<String> silentZones,
+            double nowS) {
         int left = n;
         while (left > 0) {
             Vessel best = null;
             int machines = 0;
             double least = Double.MAX_VALUE;
             for (MachineType t : cluster.types()) {
-                if (!s.allows(t) || cheapOnly && t.size().gpus() > 0) continue;
-                for (String zone : t.zones()) for (int k = 0; k < 2; k++) {
-                    boolean spot = k == 1;
-                    if (silentZones.contains(zone)) continue;
-                    if (!s.allows(t.name(), zone, spot)) continue;
-                    if (exhausted.getOrDefault(kind(t.name(), zone, spot), 0.0) > nowS) continue;
-                    int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, left);
-                    if (per == 0) continue;
-                    int count = (left + per - 1) / per;
-                    double busy = s.service() ? Constants.SERVICE_PAID_S : Math.max(30, est * Math.ceil((double) left / count
-                            / Math.max(1, s.need().countIn(t.size()))));
-                    double c = count * t.price(spot) * (spot ? spotRisk : 1) * (t.bootS() + busy);
-                    if (c < least) {
-                        least = c;
-                        best = new Vessel(t, zone, spot, t.bootS());
-                        machines = count;
+                if (!s.allows(t) || cheapOnly && t.size().gpus() > 0) {
+                    continue;
+                }
+                for (String zone : t.zones()) {
+                    for (int k = 0; k < 2; k++) {
+                        boolean spot = k == 1;
+                        if (silentZones.contains(zone)) {
+                            continue;
+                        }
+                        if (!s.allows(t.name(), zone, spot)) {
+                            continue;
+                        }
+                        if (exhausted.getOrDefault(kind(t.name(), zone, spot), 0.0) > nowS) {
+                            continue;
+                        }
+                        int per = new Vessel(t, zone, spot, t.bootS()).takes(s, est, horizon, left);
+                        if (per == 0) {
+                            continue;
+                        }
+                        int count = (left + per - 1) / per;
+                        double busy = s.service()
+                                ? Constants.SERVICE_PAID_S
+                                : Math.max(
+                                        30,
+                                        est
+                                                * Math.ceil((double) left
+                                                        / count
+                                                        / Math.max(1, s.need().countIn(t.size()))));
+                        double c = count * t.price(spot) * (spot ? spotRisk : 1) * (t.bootS() + busy);
+                        if (c < least) {
+                            least = c;
+                            best = new Vessel(t, zone, spot, t.bootS());
+                            machines = count;
+                        }
                     }
                 }
             }
-            if (best == null) break;
+            if (best == null) {
+                break;
+            }
             String kind = kind(best.type.name(), best.zone, best.spot);
             int have = wanted.getOrDefault(kind, 0);
             int take = Math.min(machines, Constants.RENT_MAX * Constants.RENT_CALLS_A_KIND - have);
-            if (take <= 0) break;
+            if (take <= 0) {
+                break;
+            }
             wanted.put(kind, have + take);
             for (int i = 0; i < take && left > 0; i++) {
                 Vessel v = new Vessel(best.type, best.zone, best.spot, best.bootS);
@@ -326,9 +436,13 @@
     /** The wishes as requests, each within what one may name; the first of every kind before any second. */
     private List<Rental> requests(Iterable<Wish> wishes) {
         List<Rental> l = new ArrayList<>();
-        for (int k = 0; k < Constants.RENT_CALLS_A_KIND; k++) for (Wish w : wishes) {
-            int count = Math.min(Constants.RENT_MAX, w.count - k * Constants.RENT_MAX);
-            if (count > 0) l.add(new Rental("h-" + cluster.token() + "-" + ++counter, w.type, w.zone, w.spot, count));
+        for (int k = 0; k < Constants.RENT_CALLS_A_KIND; k++) {
+            for (Wish w : wishes) {
+                int count = Math.min(Constants.RENT_MAX, w.count - k * Constants.RENT_MAX);
+                if (count > 0) {
+                    l.add(new Rental("h-" + cluster.token() + "-" + ++counter, w.type, w.zone, w.spot, count));
+                }
+            }
         }
         return l;
     }
@@ -337,14 +451,20 @@
     private Set<String> silentZones(double nowS) {
         Map<String, int[]> zones = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
-            if (!m.cameUp() || m.unlisted || m.zone == null) continue;
+            if (!m.cameUp() || m.unlisted || m.zone == null) {
+                continue;
+            }
             int[] n = zones.computeIfAbsent(m.zone, z -> new int[2]);
             n[0]++;
-            if (cluster.silentS(m, nowS) > leaseS) n[1]++;
+            if (cluster.silentS(m, nowS) > leaseS) {
+                n[1]++;
+            }
         }
         Set<String> out = new HashSet<>();
         zones.forEach((z, n) -> {
-            if (n[0] > 2 && n[1] * 2 > n[0]) out.add(z);
+            if (n[0] > 2 && n[1] * 2 > n[0]) {
+                out.add(z);
+            }
         });
         return out;
     }
@@ -366,9 +486,13 @@
         int silent = 0;
         double quiet = leaseS + Constants.SILENT_RELEASE_S;
         for (Machine m : cluster.machines.values()) {
-            if (!m.cameUp() && m.placed.isEmpty() || m.unlisted) continue;
+            if (!m.cameUp() && m.placed.isEmpty() || m.unlisted) {
+                continue;
+            }
             up++;
-            if (cluster.silentS(m, nowS) > quiet || hearsNothing(m, nowS)) silent++;
+            if (cluster.silentS(m, nowS) > quiet || hearsNothing(m, nowS)) {
+                silent++;
+            }
         }
         // When most are silent it is more likely us who cannot hear.
         boolean trustSilence = silent * 2 <= up || up <= 2;
@@ -377,9 +501,16 @@
         // job, and a second seldom earns its price.
         Map<String, Machine> spare = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
-            if (!m.usable() || !m.empty() || m.type == null) continue;
-            spare.merge(m.type.name(), m, (x, y) -> x.idleSinceS > y.idleSinceS
-                    || x.idleSinceS == y.idleSinceS && x.name.compareTo(y.name) < 0 ? x : y);
+            if (!m.usable() || !m.empty() || m.type == null) {
+                continue;
+            }
+            spare.merge(
+                    m.type.name(),
+                    m,
+                    (x, y) ->
+                            x.idleSinceS > y.idleSinceS || x.idleSinceS == y.idleSinceS && x.name.compareTo(y.name) < 0
+                                    ? x
+                                    : y);
         }
         for (Machine m : cluster.machines.values()) {
             if (m.releasing) {
@@ -391,26 +522,39 @@
             double boot = known ? m.type.bootS() : 60;
             if (!m.cameUp() && m.placed.isEmpty()) {
                 double since = Math.max(nowS - m.rentedS, 0);
-                if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S && cluster.hearingFor(nowS) > leaseS) why = "never came up";
+                if (since > boot * Constants.BOOT_GIVE_UP + Constants.BOOT_GIVE_UP_S
+                        && cluster.hearingFor(nowS) > leaseS) {
+                    why = "never came up";
+                }
             } else if (m.unlisted && cluster.silentS(m, nowS) > leaseS / 2) {
                 why = "taken";
             } else if (cluster.silentS(m, nowS) > quiet) {
                 // One that the cloud still lists is worth waiting for as long as a new one would take to come up.
-                double more = silentZones.contains(m.zone) ? Constants.SILENT_ZONE_S
+                double more = silentZones.contains(m.zone)
+                        ? Constants.SILENT_ZONE_S
                         : Double.isNaN(m.listedS) ? 0 : boot - Constants.SILENT_RELEASE_S;
-                if (trustSilence && cluster.silentS(m, nowS) > quiet + more) why = "silent";
+                if (trustSilence && cluster.silentS(m, nowS) > quiet + more) {
+                    why = "silent";
+                }
             } else if (hearsNothing(m, nowS)) {
-                if (trustSilence) why = "hears nothing";
+                if (trustSilence) {
+                    why = "hears nothing";
+                }
             } else if (replicasSilent(m, quietZones, nowS)) {
                 why = "silent, with replicas";
             } else if (m.sick && m.placed.isEmpty()) {
                 why = "sick";
-            } else if (m.synced && !m.deaf && m.empty() && !reserved.contains(m.name)
+            } else if (m.synced
+                    && !m.deaf
+                    && m.empty()
+                    && !reserved.contains(m.name)
                     && nowS - m.idleSinceS > idleKeepS + (known && spare.get(m.type.name()) == m ? boot / 2 : 0)
                     && !keptForServices(m, expected)) {
                 why = "idle";
             }
-            if (why == null) continue;
+            if (why == null) {
+                continue;
+            }
             m.releasing = true;
             cluster.note("returning " + m.name + ": " + why);
             out.add(m.name);
@@ -419,20 +563,30 @@
     }
 
     private boolean hasServices() {
-        for (Job j : cluster.jobs.values()) if (j.spec.service()) return true;
+        for (Job j : cluster.jobs.values()) {
+            if (j.spec.service()) {
+                return true;
+            }
+        }
         return false;
     }
 
     /** How many replicas machines could hold that are there or coming, if all that ends made room for them. */
     private int freeSlots(JobSpec s) {
         int n = 0;
-        for (Machine m : cluster.machines.values()) n += slots(m, s);
+        for (Machine m : cluster.machines.values()) {
+            n += slots(m, s);
+        }
         return n;
     }
 
     private static int slots(Machine m, JobSpec s) {
-        if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS) || m.up && m.deaf) return 0;
-        if (s.need().gpus() == 0 && m.type.size().gpus() > 0 || !s.allows(m.type.name(), m.zone, m.spot)) return 0;
+        if (m.type == null || m.releasing || m.sick || !Double.isNaN(m.takenS) || m.up && m.deaf) {
+            return 0;
+        }
+        if (s.need().gpus() == 0 && m.type.size().gpus() > 0 || !s.allows(m.type.name(), m.zone, m.spot)) {
+            return 0;
+        }
         return s.need().countIn(m.type.size().minus(m.services()));
     }
 
@@ -440,7 +594,9 @@
     private boolean keptForServices(Machine m, Map<JobSpec, Integer> beyond) {
         for (Map.Entry<JobSpec, Integer> e : beyond.entrySet()) {
             int k = slots(m, e.getKey());
-            if (k > 0 && e.getValue() < k) return true;
+            if (k > 0 && e.getValue() < k) {
+                return true;
+            }
         }
         beyond.replaceAll((s, n) -> n - slots(m, s));
         return false;
@@ -450,15 +606,21 @@
     private Set<String> quietZones(double nowS) {
         Map<String, int[]> zones = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
-            if (!m.up || m.unlisted || m.zone == null) continue;
+            if (!m.up || m.unlisted || m.zone == null) {
+                continue;
+            }
             int[] n = zones.computeIfAbsent(m.zone, z -> new int[2]);
             n[0]++;
             // Half the time already tells: what falls silent together does so within a report interval.
-            if (cluster.silentS(m, nowS) > reportS * Constants.REPLICAS_SILENT_REPORTS / 2) n[1]++;
+            if (cluster.silentS(m, nowS) > reportS * Constants.REPLICAS_SILENT_REPORTS / 2) {
+                n[1]++;
+            }
         }
         Set<String> out = new HashSet<>();
         zones.forEach((z, n) -> {
-            if (n[1] > Math.max(2, n[0] * Constants.REPLICAS_SILENT_SHARE)) out.add(z);
+            if (n[1] > Math.max(2, n[0] * Constants.REPLICAS_SILENT_SHARE)) {
+                out.add(z);
+            }
         });
         return out;
     }
@@ -470,15 +632,22 @@
      */
     private boolean replicasSilent(Machine m, Set<String> quietZones, double nowS) {
         double silent = cluster.silentS(m, nowS);
-        if (!m.up || silent <= reportS * Constants.REPLICAS_SILENT_REPORTS || quietZones.contains(m.zone)) return false;
-        if (cluster.hearingFor(nowS) < Constants.REPLICAS_HEARING_S) return false;
+        if (!m.up || silent <= reportS * Constants.REPLICAS_SILENT_REPORTS || quietZones.contains(m.zone)) {
+            return false;
+        }
+        if (cluster.hearingFor(nowS) < Constants.REPLICAS_HEARING_S) {
+            return false;
+        }
         double gain = 0;
         double loss = 0;
         for (Placement p : m.placed.values()) {
             double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
-            if (p.job.spec.service()) gain += Math.max(0, leaseS - silent);
-            else loss += p.job.spec.need().shareOf(m.type.size())
-                    * (p.job.spec.checkpointS() > 0 ? Math.min(ran, p.job.spec.checkpointS()) : ran);
+            if (p.job.spec.service()) {
+                gain += Math.max(0, leaseS - silent);
+            } else {
+                loss += p.job.spec.need().shareOf(m.type.size())
+                        * (p.job.spec.checkpointS() > 0 ? Math.min(ran, p.job.spec.checkpointS()) : ran);
+            }
         }
         return gain > loss;
     }
@@ -488,26 +657,39 @@
         p.leaving = true;
         double left = Double.isNaN(m.takenS) ? Double.POSITIVE_INFINITY : m.takenS - nowS;
         int away = 0;
-        for (Placement q : p.job.placed.values()) if (q.stopping) away++;
+        for (Placement q : p.job.placed.values()) {
+            if (q.stopping) {
+                away++;
+            }
+        }
         away += p.job.open();
         boolean some = away * 2 < p.job.spec.tasks(); // never all of a service at a time, if it can be helped
-        if (left < Constants.REPLICAS_LAST_S || some && cluster.roomElsewhere(p)) p.stop(0);
+        if (left < Constants.REPLICAS_LAST_S || some && cluster.roomElsewhere(p)) {
+            p.stop(0);
+        }
     }
 
     /** Tasks on machines that the cloud is about to take: they save and move on, the rest may finish in time. */
     public void drain(double nowS) {
         for (Machine m : cluster.machines.values()) {
-            if (Double.isNaN(m.takenS) && !m.sick) continue;
+            if (Double.isNaN(m.takenS) && !m.sick) {
+                continue;
+            }
             for (Placement p : m.placed.values()) {
                 JobSpec s = p.job.spec;
                 if (s.service()) {
-                    if (!p.stopping) move(m, p, nowS);
+                    if (!p.stopping) {
+                        move(m, p, nowS);
+                    }
+                    continue;
+                }
+                if (p.stopping || Double.isNaN(m.takenS) && s.checkpointS() == 0) {
                     continue;
                 }
-                if (p.stopping || Double.isNaN(m.takenS) && s.checkpointS() == 0) continue;
                 double left = Double.isNaN(m.takenS) ? 60 : m.takenS - nowS;
                 double ran = Double.isNaN(p.runningS) ? 0 : nowS - p.runningS;
-                if (s.checkpointS() > 0 && left <= s.saveS() + 4 || s.gang() && left <= s.saveS() + 5
+                if (s.checkpointS() > 0 && left <= s.saveS() + 4
+                        || s.gang() && left <= s.saveS() + 5
                         || s.checkpointS() > 0 && cluster.expectedS(p.job) - ran > left) {
                     p.stop(Math.max(s.saveS(), Math.min(left, s.saveS() + Constants.SAVE_GRACE_S)));
                 }
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -1,5 +1,16 @@
 package org.mountlug.node;
 
+import io.undertow.util.Methods;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.mountlug.Constants;
 import org.mountlug.cloud.CloudCodec;
 import org.mountlug.core.lead.Election;
@@ -17,21 +28,9 @@
 import org.mountlug.store.StateClient;
 import org.mountlug.wire.Calls;
 import org.mountlug.wire.Fields;
-import io.undertow.util.Methods;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.function.BiConsumer;
-import java.util.function.DoubleSupplier;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
-
 /**
  * One controller node without its sockets: leadership, the watches a follower keeps, and what users, workers and peers
  * are answered. Everything runs on one thread, which on a quarter of a core costs nothing and leaves no state to be
@@ -80,9 +79,16 @@
     /**
      * @param timer runs something after so many milliseconds, on the thread that everything else of this node runs on
      */
-    public Controller(Settings settings, Operators operators, StateClient state, Calls cloud,
-                      Function<String, Calls> workers, DoubleSupplier clockS,
-                      LongSupplier epochMs, BiConsumer<Runnable, Integer> timer, SplittableRandom random) {
+    public Controller(
+            Settings settings,
+            Operators operators,
+            StateClient state,
+            Calls cloud,
+            Function<String, Calls> workers,
+            DoubleSupplier clockS,
+            LongSupplier epochMs,
+            BiConsumer<Runnable, Integer> timer,
+            SplittableRandom random) {
         this.settings = settings;
         this.operators = operators;
         this.state = state;
@@ -97,12 +103,17 @@
         this.lastTurnS = startedS;
         this.reports = new ReportCount(Constants.REPORTS_INTERVALS * settings.reportS());
         this.election = new Election(settings.label(), Long.toHexString(boot));
-        this.peerView = new PeerView(settings.others().stream().map(Settings.Peer::label).toList(),
-                Constants.ABORT_MEMORY_S);
+        this.peerView = new PeerView(
+                settings.others().stream().map(Settings.Peer::label).toList(), Constants.ABORT_MEMORY_S);
         for (Settings.Objective o : settings.objectives()) {
-            if (Double.isNaN(o.withinS())) continue;
-            if (o.kind().equals("wait")) aims.wait(o.lane(), o.withinS());
-            else if (o.kind().equals("finished")) aims.finished(o.lane(), o.withinS());
+            if (Double.isNaN(o.withinS())) {
+                continue;
+            }
+            if (o.kind().equals("wait")) {
+                aims.wait(o.lane(), o.withinS());
+            } else if (o.kind().equals("finished")) {
+                aims.finished(o.lane(), o.withinS());
+            }
         }
     }
 
@@ -128,7 +139,9 @@
         announce();
         watchReservations();
         types();
-        if (leader != null) leader.tick();
+        if (leader != null) {
+            leader.tick();
+        }
     }
 
     /**
@@ -138,17 +151,23 @@
     private void noticeStandstill() {
         double now = clockS.getAsDouble();
         double gap = now - lastTurnS;
-        if (gap <= Constants.STANDSTILL_S) return;
+        if (gap <= Constants.STANDSTILL_S) {
+            return;
+        }
         LOG.info("stood still for {} s", Math.round(gap * 10) / 10.0);
         lastTurnS = now; // noticed once, by whichever looks first
         wokeS = now;
         doubtful = true;
-        if (leader != null) leader.cluster().woke(now);
+        if (leader != null) {
+            leader.cluster().woke(now);
+        }
     }
 
     /** Whether we may answer workers: after waking only once a renewal, or every peer, shows that nobody else leads. */
     private boolean trusted(double now) {
-        if (doubtful && (election.proven(now) || peerView.allAnsweredSince(wokeS))) doubtful = false;
+        if (doubtful && (election.proven(now) || peerView.allAnsweredSince(wokeS))) {
+            doubtful = false;
+        }
         return !doubtful;
     }
 
@@ -162,7 +181,9 @@
             return false;
         }
         int elsewhere = peerView.reportsElsewhere(now);
-        if (elsewhere < Constants.MISSED_LEAST || reports.lately(now) > elsewhere * Constants.MISSED_HEARS) return false;
+        if (elsewhere < Constants.MISSED_LEAST || reports.lately(now) > elsewhere * Constants.MISSED_HEARS) {
+            return false;
+        }
         return elsewhere >= leader.machinesUp() * Constants.MISSED_SHARE;
     }
 
@@ -178,47 +199,67 @@
     private void lead() {
         double now = clockS.getAsDouble();
         switch (election.next(now)) {
-            case LOOK -> state.get(RecordCodec.LEADER, Constants.STATE_TIMEOUT_MS, a -> {
-                if (a.status() == 200) {
-                    Map<String, Object> v = Fields.map(a.body().get("v"));
-                    long stamp = Fields.num(a.body(), "stamp", 0);
-                    election.looked(clockS.getAsDouble(), Fields.str(v, "node"), Fields.str(v, "nonce"), Fields.num(v, "hold", 0),
-                            stamp, turn());
-                    if (leaderWatchFrom < stamp) leaderWatchFrom = stamp;
-                } else if (a.status() == 404) {
-                    leaderWatchFrom = Math.max(leaderWatchFrom, Fields.num(a.body(), "epoch", 0));
-                    election.looked(clockS.getAsDouble(), null, null, 0, 0, turn());
-                } else election.failed(clockS.getAsDouble());
-            });
+            case LOOK ->
+                state.get(RecordCodec.LEADER, Constants.STATE_TIMEOUT_MS, a -> {
+                    if (a.status() == 200) {
+                        Map<String, Object> v = Fields.map(a.body().get("v"));
+                        long stamp = Fields.num(a.body(), "stamp", 0);
+                        election.looked(
+                                clockS.getAsDouble(),
+                                Fields.str(v, "node"),
+                                Fields.str(v, "nonce"),
+                                Fields.num(v, "hold", 0),
+                                stamp,
+                                turn());
+                        if (leaderWatchFrom < stamp) {
+                            leaderWatchFrom = stamp;
+                        }
+                    } else if (a.status() == 404) {
+                        leaderWatchFrom = Math.max(leaderWatchFrom, Fields.num(a.body(), "epoch", 0));
+                        election.looked(clockS.getAsDouble(), null, null, 0, 0, turn());
+                    } else {
+                        election.failed(clockS.getAsDouble());
+                    }
+                });
             case DROP_OLD_HOLD -> state.drop(election.oldHold(), a -> election.oldHoldDropped(clockS.getAsDouble()));
-            case OPEN_HOLD -> state.hold(Constants.HOLD_LIFE_MS, a -> {
-                if (a.status() == 200) {
-                    election.holdOpened(now, Fields.num(a.body(), "hold", 0));
-                    lead();
-                } else election.failed(clockS.getAsDouble());
-            });
+            case OPEN_HOLD ->
+                state.hold(Constants.HOLD_LIFE_MS, a -> {
+                    if (a.status() == 200) {
+                        election.holdOpened(now, Fields.num(a.body(), "hold", 0));
+                        lead();
+                    } else {
+                        election.failed(clockS.getAsDouble());
+                    }
+                });
             case CAMPAIGN -> {
                 Map<String, Object> v = new LinkedHashMap<>();
                 v.put("node", settings.label());
                 v.put("nonce", election.nonce());
                 v.put("hold", election.hold());
-                state.commit(new Change().guard(RecordCodec.LEADER, 0).put(RecordCodec.LEADER, v, election.hold()), a -> {
+                state.commit(
+                        new Change().guard(RecordCodec.LEADER, 0).put(RecordCodec.LEADER, v, election.hold()), a -> {
+                            if (a.status() == 200) {
+                                election.campaigned(clockS.getAsDouble(), true, Fields.num(a.body(), "epoch", 0));
+                                lead();
+                            } else if (a.status() == 409) {
+                                election.campaigned(clockS.getAsDouble(), false, 0);
+                            } else {
+                                election.failed(clockS.getAsDouble());
+                            }
+                        });
+            }
+            case RENEW ->
+                state.renew(election.hold(), a -> {
                     if (a.status() == 200) {
-                        election.campaigned(clockS.getAsDouble(), true, Fields.num(a.body(), "epoch", 0));
-                        lead();
-                    } else if (a.status() == 409) election.campaigned(clockS.getAsDouble(), false, 0);
-                    else election.failed(clockS.getAsDouble());
+                        election.renewed(now, true);
+                    } else if (a.status() == 404) {
+                        LOG.info("deposed: the hold ended");
+                        election.renewed(now, false);
+                    } else {
+                        election.failed(clockS.getAsDouble());
+                    }
                 });
-            }
-            case RENEW -> state.renew(election.hold(), a -> {
-                if (a.status() == 200) election.renewed(now, true);
-                else if (a.status() == 404) {
-                    LOG.info("deposed: the hold ended");
-                    election.renewed(now, false);
-                } else election.failed(clockS.getAsDouble());
-            });
-            case NONE -> {
-            }
+            case NONE -> {}
         }
         if (leader != null && (!election.leading() || leader.cluster().token() != election.token())) {
             leader.end();
@@ -228,20 +269,38 @@
         }
         if (leader == null && election.leading()) {
             LOG.info("elected with token {}", election.token());
-            leader = new Leader(settings, operators, election, state, cloud, workers, clockS, epochMs, this::after, aims,
-                    types.values(), finals, metrics);
+            leader = new Leader(
+                    settings,
+                    operators,
+                    election,
+                    state,
+                    cloud,
+                    workers,
+                    clockS,
+                    epochMs,
+                    this::after,
+                    aims,
+                    types.values(),
+                    finals,
+                    metrics);
             metrics.leading(true);
         }
     }
 
     /** Followers learn of a vacancy from a watch, at once and for one request in ten seconds. */
     private void watchLeader() {
-        if (watchingLeader || election.leading() || leaderWatchFrom < 0) return;
+        if (watchingLeader || election.leading() || leaderWatchFrom < 0) {
+            return;
+        }
         watchingLeader = true;
         state.watch(RecordCodec.LEADER, leaderWatchFrom, Constants.WATCH_BLOCK_MS, a -> {
             after(() -> watchingLeader = false, a.status() == 200 ? 50 : 500);
-            if (a.status() == 410) leaderWatchFrom = -1;
-            if (a.status() != 200) return;
+            if (a.status() == 410) {
+                leaderWatchFrom = -1;
+            }
+            if (a.status() != 200) {
+                return;
+            }
             leaderWatchFrom = Math.max(leaderWatchFrom, Fields.num(a.body(), "epoch", 0));
             List<Object> news = Fields.list(a.body(), "news");
             if (!news.isEmpty() && Fields.str(Fields.map(news.get(news.size() - 1)), "delete") != null) {
@@ -259,7 +318,9 @@
      */
     private void announce() {
         double now = clockS.getAsDouble();
-        if (announced || announcing || now < nextAnnounceS) return;
+        if (announced || announcing || now < nextAnnounceS) {
+            return;
+        }
         announcing = true;
         nextAnnounceS = now + Constants.ANNOUNCE_MS / 1000.0;
         String key = RecordCodec.VERSIONS + settings.label();
@@ -271,11 +332,13 @@
                 announcing = false;
                 return;
             }
-            state.commit(new Change().guard(key, Fields.num(a.body(), "stamp", 0))
-                    .put(key, Map.of("layout", (long) RecordCodec.LAYOUT)), b -> {
-                announcing = false;
-                announced = b.status() == 200;
-            });
+            state.commit(
+                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, Map.of("layout", (long)
+                            RecordCodec.LAYOUT)),
+                    b -> {
+                        announcing = false;
+                        announced = b.status() == 200;
+                    });
         });
     }
 
@@ -287,15 +350,21 @@
      */
     private void watchReservations() {
         double now = clockS.getAsDouble();
-        if (watchingReservations || election.leading() || election.leader() == null || now < nextReservationsS) return;
+        if (watchingReservations || election.leading() || election.leader() == null || now < nextReservationsS) {
+            return;
+        }
         watchingReservations = true;
         nextReservationsS = now + Constants.RESERVATIONS_PAUSE_MS / 1000.0;
         if (reservationsFrom < 0) {
             state.list(RecordCodec.RESERVED, null, a -> {
                 watchingReservations = false;
-                if (a.status() != 200) return;
+                if (a.status() != 200) {
+                    return;
+                }
                 reserved.clear();
-                for (Object o : Fields.list(a.body(), "rows")) reserved.add(Fields.str(Fields.map(o), "k"));
+                for (Object o : Fields.list(a.body(), "rows")) {
+                    reserved.add(Fields.str(Fields.map(o), "k"));
+                }
                 reservationsFrom = Fields.num(a.body(), "epoch", 0);
                 metrics.reserved(reserved.size());
             });
@@ -303,14 +372,21 @@
         }
         state.watch(RecordCodec.RESERVED, reservationsFrom, Constants.WATCH_BLOCK_MS, a -> {
             watchingReservations = false;
-            if (a.status() == 410) reservationsFrom = -1;
-            if (a.status() != 200) return;
+            if (a.status() == 410) {
+                reservationsFrom = -1;
+            }
+            if (a.status() != 200) {
+                return;
+            }
             reservationsFrom = Math.max(reservationsFrom, Fields.num(a.body(), "epoch", 0));
             for (Object o : Fields.list(a.body(), "news")) {
                 Map<String, Object> e = Fields.map(o);
                 String put = Fields.str(e, "put");
-                if (put != null) reserved.add(put);
-                else reserved.remove(Fields.str(e, "delete"));
+                if (put != null) {
+                    reserved.add(put);
+                } else {
+                    reserved.remove(Fields.str(e, "delete"));
+                }
             }
             metrics.reserved(reserved.size());
         });
@@ -320,8 +396,8 @@
 
     public PeerCodec.Answer tellPeer(long serial) {
         double now = clockS.getAsDouble();
-        return new PeerCodec.Answer(serial, boot, state.served(), knownToken(), reports.lately(now), false,
-                peerView.aborts(now));
+        return new PeerCodec.Answer(
+                serial, boot, state.served(), knownToken(), reports.lately(now), false, peerView.aborts(now));
     }
 
     private long knownToken() {
@@ -331,14 +407,18 @@
     public void heardPeer(String label, Peers.Heard h) {
         double now = clockS.getAsDouble();
         peerView.answered(label, h.askedS(), now, h.answer());
-        if (leader == null) return;
+        if (leader == null) {
+            return;
+        }
         if (h.answer().token() > election.token()) {
             LOG.info("deposed: {} knows token {}", label, h.answer().token());
             election.depose();
             return;
         }
         LiveRecords records = leader.records();
-        for (String id : h.answer().aborts()) records.abortTold(id);
+        for (String id : h.answer().aborts()) {
+            records.abortTold(id);
+        }
         records.knownByPeers(peerView.knownUntilS(records.knownUntilS(), now));
     }
 
@@ -353,7 +433,9 @@
      */
     public void abortAccepted(String id) {
         peerView.aborted(id, clockS.getAsDouble());
-        if (leader != null) leader.records().abortTold(id);
+        if (leader != null) {
+            leader.records().abortTold(id);
+        }
     }
 
     // ---- catalogue --------------------------------------------------------------------------------------------
@@ -361,7 +443,9 @@
     /** Without the machine types no submission can be judged; the state service keeps them for when the cloud fails. */
     private void types() {
         double now = clockS.getAsDouble();
-        if (!types.isEmpty() || fetchingTypes || now < nextTypesS) return;
+        if (!types.isEmpty() || fetchingTypes || now < nextTypesS) {
+            return;
+        }
         fetchingTypes = true;
         state.get(RecordCodec.CATALOGUE, Constants.STATE_TIMEOUT_MS, a -> {
             if (a.status() == 200) {
@@ -369,8 +453,9 @@
                 return;
             }
             cloud.call(Methods.GET, "/flavors", null, Constants.CLOUD_TIMEOUT_MS, b -> {
-                if (b.status() == 200) learnTypes(CloudCodec.catalogue(b.body()));
-                else {
+                if (b.status() == 200) {
+                    learnTypes(CloudCodec.catalogue(b.body()));
+                } else {
                     fetchingTypes = false;
                     nextTypesS = clockS.getAsDouble() + 1 + random.nextDouble();
                 }
@@ -381,9 +466,13 @@
     private void learnTypes(List<MachineType> l) {
         fetchingTypes = false;
         Map<String, MachineType> m = new LinkedHashMap<>();
-        for (MachineType t : l) m.put(t.name(), t);
+        for (MachineType t : l) {
+            m.put(t.name(), t);
+        }
         types = m;
-        if (leader != null && leader.cluster().types().isEmpty()) leader.cluster().catalogue(l);
+        if (leader != null && leader.cluster().types().isEmpty()) {
+            leader.cluster().catalogue(l);
+        }
     }
 
     // ---- for the interface ------------------------------------------------------------------------------------
@@ -447,7 +536,9 @@
         }
         noticeStandstill();
         double now = clockS.getAsDouble();
-        if (!trusted(now) || !leader.mayRenew(now) || leader.unanswerable(r.machine())) return new Beat.Blind();
+        if (!trusted(now) || !leader.mayRenew(now) || leader.unanswerable(r.machine())) {
+            return new Beat.Blind();
+        }
         List<Order> orders = leader.report(r);
         if (orders == null) {
             LOG.info("deposed: {} knows token {}", r.machine(), r.token());
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -4,6 +4,12 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.mountlug.Constants;
 import org.mountlug.api.Api;
 import org.mountlug.api.Users;
@@ -20,13 +26,6 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
-import java.io.IOException;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
-
 /** A controller as a process: the server, the clients and the timers round a {@link Controller}, on one I/O thread. */
 public final class Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
@@ -54,24 +53,38 @@
     }
 
     public void start() throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, 1024 * 1024L)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.STACK_SIZE, 1024 * 1024L)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
         io = worker.getIoThread();
         ByteBufferPool pool = new DefaultByteBufferPool(true, Constants.IO_BUFFER, 64, 4);
-        StateClient state = new StateClient(new Http(io, pool, settings.state(), Constants.STATE_CONNECTIONS),
-                new Http(io, pool, settings.state(), Constants.WATCH_CONNECTIONS), Daemon::clockS, settings.stateRps(),
+        StateClient state = new StateClient(
+                new Http(io, pool, settings.state(), Constants.STATE_CONNECTIONS),
+                new Http(io, pool, settings.state(), Constants.WATCH_CONNECTIONS),
+                Daemon::clockS,
+                settings.stateRps(),
                 settings.others().size() + 1);
-        node = new Controller(settings, operators, state, new Http(io, pool, settings.cloud(), Constants.CLOUD_CONNECTIONS),
-                address -> new Http(io, pool, address, 1, false), Daemon::clockS,
-                System::currentTimeMillis, this::after, new SplittableRandom());
+        node = new Controller(
+                settings,
+                operators,
+                state,
+                new Http(io, pool, settings.cloud(), Constants.CLOUD_CONNECTIONS),
+                address -> new Http(io, pool, address, 1, false),
+                Daemon::clockS,
+                System::currentTimeMillis,
+                this::after,
+                new SplittableRandom());
         int colon = settings.listen().lastIndexOf(':');
-        server = Undertow.builder().setWorker(worker).setByteBufferPool(pool)
-                .addHttpListener(Integer.parseInt(settings.listen().substring(colon + 1)),
+        server = Undertow.builder()
+                .setWorker(worker)
+                .setByteBufferPool(pool)
+                .addHttpListener(
+                        Integer.parseInt(settings.listen().substring(colon + 1)),
                         settings.listen().substring(0, colon))
                 .setHandler(new Api(node, new Users(node, state, settings, System::currentTimeMillis)))
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Constants.BODY_MAX * 2)
@@ -83,9 +96,10 @@
                 .build();
         server.start();
         Map<String, String> others = new LinkedHashMap<>();
-        for (Settings.Peer p : settings.others()) others.put(p.label(), p.endpoint());
-        peers = new Peers(worker, io, Daemon::clockS, others, node::tellPeer, node::heardPeer,
-                node::peerRefused);
+        for (Settings.Peer p : settings.others()) {
+            others.put(p.label(), p.endpoint());
+        }
+        peers = new Peers(worker, io, Daemon::clockS, others, node::tellPeer, node::heardPeer, node::peerRefused);
         peers.listen(settings.clusterListen());
         LOG.info("{} listens on {}: {}", settings.label(), settings.listen(), String.join("; ", sizes));
         io.execute(this::tick);
@@ -100,13 +114,20 @@
     }
 
     private void after(Runnable r, int ms) {
-        io.executeAfter(() -> {
-            if (!stopped) r.run();
-        }, ms, TimeUnit.MILLISECONDS);
+        io.executeAfter(
+                () -> {
+                    if (!stopped) {
+                        r.run();
+                    }
+                },
+                ms,
+                TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
-        if (stopped) return;
+        if (stopped) {
+            return;
+        }
         try {
             node.tick();
             double now = clockS();
--- a/src/main/java/org/mountlug/node/FinalStates.java
+++ b/src/main/java/org/mountlug/node/FinalStates.java
@@ -8,8 +8,10 @@
 final class FinalStates {
     record State(boolean done, int tasks) {}
 
-    private final Cache<String, State> cache = CacheBuilder.newBuilder().maximumSize(Constants.FINAL_CACHE)
-            .concurrencyLevel(1).build();
+    private final Cache<String, State> cache = CacheBuilder.newBuilder()
+            .maximumSize(Constants.FINAL_CACHE)
+            .concurrencyLevel(1)
+            .build();
 
     void put(String id, boolean done, int tasks) {
         cache.put(id, new State(done, tasks));
