--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -250,6 +250,10 @@
     public static final double OVERFLOW_SHARE = 0.75;
 
     // ---- machines ---------------------------------------------------------------------------------------------
+    /** Machines proven gone that are remembered at the least; twice the fleet if that is more. */
+    public static final int DEPARTED_LEAST = 2000;
+    /** Jobs finished in a term that are remembered at the least; twice the live ones if that is more. */
+    public static final int FINISHED_LEAST = 4000;
     /** Milliseconds between two readings of the machine list; it lags by seconds anyway. */
     public static final int LIST_MS = 8000;
     /** Milliseconds between two readings of the catalogue; prices move slowly. */
@@ -355,6 +359,56 @@
     /** MB beside the heap, measured: classes, compiled code, stacks and buffers, 45 at rest, with room for its buffers. */
     public static final int BESIDE_HEAP_MB = 80;
 
+    /** Zones that drop off the network and return; operators may set the shares and times. */
+    public static final class Zones {
+        private Zones() {}
+
+        /** Machines below which a zone is not judged: two may fail by themselves at a time. */
+        public static final int LEAST_MACHINES = 3;
+        /** Share of silent machines above which a zone is suspect: most of them do not fail by themselves. */
+        public static final double SUSPECT_SHARE = 0.5;
+        /** Share from which a zone as a whole is silent: some machines are yet to time out, or are on their way back. */
+        public static final double LOST_SHARE = 0.8;
+        /** Share up to which a suspect zone is present again, well below that on which it became suspect. */
+        public static final double CLEAR_SHARE = 0.25;
+        /** Share of heard machines from which a lost zone counts as heard. */
+        public static final double RETURN_SHARE = 0.5;
+        /** Seconds of silence as a whole before a zone is lost: a report interval, so that late reports can still come. */
+        public static final double LOST_AFTER_S = 3;
+        /** Seconds for which a zone must be heard before it returns: two report intervals, as for a machine. */
+        public static final double RETURN_AFTER_S = 4;
+        /** The most seconds that repeated losses lengthen this to: about a cut's length. */
+        public static final double RETURN_AFTER_MOST_S = 60;
+        /** Seconds without a loss after which one is forgotten: twice as long as the longest wait for a return. */
+        public static final double CALM_S = 120;
+        /** Share of its machines for which a returning zone gets starts at first. */
+        public static final double RAMP_START_SHARE = 0.1;
+        /** Share by which that grows in a second without trouble: the whole in under ten seconds. */
+        public static final double RAMP_GROW_SHARE = 0.2;
+        /** Share of its machines that may fetch images at the same time. */
+        public static final double DOWNLOADS_SHARE = 0.5;
+        /** Seconds between two steps of the ramp: a round. */
+        public static final double RAMP_STEP_S = 1;
+        /** Share of quiet machines above which the ramp falls: more than are late by themselves. */
+        public static final double RAMP_QUIET_SHARE = 0.1;
+        /** Share of the silent machines that must report to other controllers for the zone not to be the cause. */
+        public static final double PEERS_HEAR_SHARE = 0.5;
+        /** Share of a lost zone's machines that is replaced at once for work that is not urgent. */
+        public static final double SUBSTITUTES_AT_ONCE = 0.25;
+        /** Seconds in which the whole of them would be replaced: as long as a boot, after which waiting saves nothing. */
+        public static final double SUBSTITUTES_PACE_S = 30;
+        /** Idle substitutes that may be returned in a round, as a part of the starts that the ramp admits. */
+        public static final double SUBSTITUTES_RETURNED_SHARE = 0.5;
+        /** Substitutes that may be emptied at the same time, as a part of the starts that the ramp admits. */
+        public static final double MOVES_SHARE = 0.1;
+        /** Seconds of work left below which a task ends where it is. */
+        public static final double MOVE_LEAST_S = 60;
+        /** Seconds that a move takes beside saving and fetching: a stop, a report, a round and a start. */
+        public static final double MOVE_OVERHEAD_S = 10;
+        /** Seconds between two writings of the zones' state for the next leader, while it changes. */
+        public static final double STORE_S = 2;
+    }
+
     // ---- users ------------------------------------------------------------------------------------------------
     /** Seconds that a user waits for an answer at the most; the protocol's figure for submissions. */
     public static final double USER_PATIENCE_S = 5;
--- a/src/main/java/org/mountlug/cli/Main.java
+++ b/src/main/java/org/mountlug/cli/Main.java
@@ -101,6 +101,7 @@
             List<String> sizes = Sizes.check(settings, Runtime.getRuntime().maxMemory() / 1048576.0);
             if (name.equals("check")) {
                 sizes.forEach(System.out::println);
+                operators.inForce().forEach(System.out::println);
                 System.out.println("settings of " + settings.label() + " are good");
                 return 0;
             }
--- a/src/main/java/org/mountlug/cli/StandIns.java
+++ b/src/main/java/org/mountlug/cli/StandIns.java
@@ -66,7 +66,7 @@
     /** Holds that these controllers read the layout of records that this version writes. */
     synchronized void versionsOf(String... labels) {
         for (String label : labels) {
-            rows.put(RecordCodec.VERSIONS + label, new Row(Map.of("layout", (long) RecordCodec.LAYOUT), ++epoch));
+            rows.put(RecordCodec.VERSIONS + label, new Row(RecordCodec.announcement(), ++epoch));
         }
     }
 
--- a/src/main/java/org/mountlug/core/allocate/Allocator.java
+++ b/src/main/java/org/mountlug/core/allocate/Allocator.java
@@ -12,6 +12,7 @@
 import org.mountlug.core.model.MachineType;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.core.model.Resources;
+import org.mountlug.core.zone.ZoneWatch;
 
 /**
  * One round of the design: pipelined gangs first, each task on the machine it is nominated for, then everything
@@ -25,8 +26,9 @@
     private final MachineHolding holding;
 
     /** Makes the view of the usable machines for one round; {@code dueOrder} sorts jobs within a queue. */
-    public Allocator(Cluster cluster, ToDoubleFunction<Job> dueOrder, ReplicaTimes times, double nowS) {
-        view = new RoundView(cluster, dueOrder, times, nowS);
+    public Allocator(
+            Cluster cluster, ZoneWatch zones, ToDoubleFunction<Job> dueOrder, ReplicaTimes times, double nowS) {
+        view = new RoundView(cluster, zones, dueOrder, times, nowS);
         gangs = new GangPlacement(view);
         arrays = new ArrayPlacement(view);
         replicas = new ReplicaPlacement(view);
--- a/src/main/java/org/mountlug/core/allocate/ArrayPlacement.java
+++ b/src/main/java/org/mountlug/core/allocate/ArrayPlacement.java
@@ -130,6 +130,7 @@
             // On accelerator machines room is fought over by priority, and a gang wants several slots at once.
             if (n.machine.type.size().gpus() > 0
                     || n.machine.heldFor != null
+                    || n.limited()
                     || !n.pipelined.isZero()
                     || !n.machine.strays.isEmpty()) {
                 continue;
--- a/src/main/java/org/mountlug/core/allocate/Node.java
+++ b/src/main/java/org/mountlug/core/allocate/Node.java
@@ -3,6 +3,7 @@
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Placement;
 import org.mountlug.core.model.Resources;
+import org.mountlug.core.zone.StartBudget;
 
 /** A machine as one round sees it: statements change this view, and only a commit reaches the cluster. */
 public final class Node {
@@ -19,6 +20,9 @@
     /** The same of any class: what a service leaves, as it stays for as long as its user orders. */
     private final Resources acceleratorShareOfAll;
 
+    /** Starts that its zone may still get in this round, null without a limit. */
+    private StartBudget budget;
+
     /** A view of a machine on which nothing is kept for accelerator work. */
     public Node(Machine m) {
         this(m, Resources.ZERO, Resources.ZERO);
@@ -35,6 +39,34 @@
         releasing = m.stopping();
     }
 
+    /** Limits the starts on this machine and all others with the same budget. */
+    void limit(StartBudget zoneBudget) {
+        budget = zoneBudget;
+    }
+
+    /** Whether its zone gets only a part of the starts that there is room for. */
+    boolean limited() {
+        return budget != null;
+    }
+
+    /** Takes a start from the zone's budget. */
+    void takeStart() {
+        if (budget != null) {
+            budget.take();
+        }
+    }
+
+    /** Gives a start back to the zone's budget. */
+    void giveStartBack() {
+        if (budget != null) {
+            budget.giveBack();
+        }
+    }
+
+    private int withinBudget(int count) {
+        return budget == null ? count : Math.min(count, budget.left());
+    }
+
     /** The design's future room. */
     public Resources future() {
         return idle.plus(releasing).minus(pipelined);
@@ -42,7 +74,7 @@
 
     /** Whether a task fits now without taking what a reservation counts on. */
     public boolean fitsNow(Resources need) {
-        return need.fitsIn(idle) && need.fitsIn(future());
+        return withinBudget(1) > 0 && need.fitsIn(idle) && need.fitsIn(future());
     }
 
     /**
@@ -73,7 +105,7 @@
             room = new Resources(
                     Math.min(room.cpus(), beside.cpus()), room.gpus(), Math.min(room.ramGb(), beside.ramGb()));
         }
-        return need.countIn(room);
+        return withinBudget(need.countIn(room));
     }
 
     /** How many replicas fit now: on an accelerator machine only beside all the accelerator work that it could hold. */
@@ -88,10 +120,10 @@
                 beside = beside.minus(p.job.spec.need());
             }
         }
-        return need.countIn(new Resources(
+        return withinBudget(need.countIn(new Resources(
                 Math.min(Math.min(idle.cpus(), f.cpus()), beside.cpus()),
                 0,
-                Math.min(Math.min(idle.ramGb(), f.ramGb()), beside.ramGb())));
+                Math.min(Math.min(idle.ramGb(), f.ramGb()), beside.ramGb()))));
     }
 
     /** The share of the machine that is taken, by its scarcest resource. */
--- a/src/main/java/org/mountlug/core/allocate/RoundView.java
+++ b/src/main/java/org/mountlug/core/allocate/RoundView.java
@@ -11,6 +11,9 @@
 import org.mountlug.core.model.MachineType;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.core.model.Resources;
+import org.mountlug.core.zone.DisplacementOrder;
+import org.mountlug.core.zone.StartBudget;
+import org.mountlug.core.zone.ZoneWatch;
 
 /** What one round sees and changes: the usable machines, what teams use, and what is known to find no room. */
 final class RoundView {
@@ -25,21 +28,26 @@
     final double cheapestPrice;
     final RefusedNeeds refusedNeeds = new RefusedNeeds();
     private final ToDoubleFunction<Job> dueOrder;
+    /** The order of all work while a zone is not present, else null. */
+    private final DisplacementOrder displacement;
+
     private int placed;
 
-    RoundView(Cluster cluster, ToDoubleFunction<Job> dueOrder, ReplicaTimes times, double nowS) {
+    RoundView(Cluster cluster, ZoneWatch zones, ToDoubleFunction<Job> dueOrder, ReplicaTimes times, double nowS) {
         this.cluster = cluster;
         this.dueOrder = dueOrder;
+        this.displacement = zones.order(dueOrder);
         this.times = times;
         this.nowS = nowS;
         this.usage = cluster.usage();
+        Map<String, StartBudget> budgets = zones.budgets();
         Resources all = Resources.ZERO;
         for (Machine machine : cluster.machines.values()) {
-            if (machine.usable()) {
+            if (machine.usable() && zones.admits(machine.zone)) {
                 MachineType type = machine.type;
-                nodes.put(
-                        machine.name,
-                        new Node(machine, cluster.acceleratorShare(type), cluster.acceleratorShareOfAll(type)));
+                Node node = new Node(machine, cluster.acceleratorShare(type), cluster.acceleratorShareOfAll(type));
+                node.limit(budgets.get(machine.zone));
+                nodes.put(machine.name, node);
                 all = all.plus(type.size());
             }
         }
@@ -58,7 +66,7 @@
 
     /** The jobs in the order in which they are served. */
     TeamQueues queues(Iterable<Job> jobs) {
-        return new TeamQueues(jobs, dueOrder, cluster::team, usage, whole, nowS);
+        return new TeamQueues(jobs, dueOrder, displacement, cluster::team, usage, whole, nowS);
     }
 
     /** Drops a job's reservations. */
--- a/src/main/java/org/mountlug/core/allocate/Statement.java
+++ b/src/main/java/org/mountlug/core/allocate/Statement.java
@@ -23,6 +23,7 @@
 
     /** Gives idle room to a task. */
     public void allocate(int task, Node n) {
+        n.takeStart();
         n.idle = n.idle.minus(job.spec.need());
         if (job.spec.need().gpus() == 0) {
             n.taken = n.taken.plus(job.spec.need());
@@ -70,6 +71,7 @@
         List<Reservation> l = new ArrayList<>();
         for (Op o : ops) {
             if (!o.pipelined()) {
+                o.node().giveStartBack();
                 o.node().idle = o.node().idle.plus(job.spec.need());
                 o.node().pipelined = o.node().pipelined.plus(job.spec.need());
             }
@@ -85,6 +87,7 @@
             if (o.pipelined()) {
                 o.node().pipelined = o.node().pipelined.minus(job.spec.need());
             } else {
+                o.node().giveStartBack();
                 o.node().idle = o.node().idle.plus(job.spec.need());
             }
         }
--- a/src/main/java/org/mountlug/core/allocate/TeamQueues.java
+++ b/src/main/java/org/mountlug/core/allocate/TeamQueues.java
@@ -3,99 +3,128 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import org.mountlug.Constants;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.Team;
-import org.mountlug.core.model.Urgency;
+import org.mountlug.core.zone.DisplacementOrder;
 
 /**
  * A queue for each team and priority. Higher priorities go first; within one, the team that uses least of what it is
- * due has the next turn, so that no team waits behind another's backlog. Priority alone would keep some jobs from ever
- * beginning, so what has waited long enough goes ahead until its first tasks are placed.
+ * due has the next turn, so that no team waits behind another's backlog. While work is displaced from a lost zone, the
+ * displacement order decides between teams instead, but for those that are within their guarantee. Either order would keep
+ * some jobs from ever beginning, so what has waited long enough goes ahead until its first tasks are placed.
  */
 public final class TeamQueues {
-    private final EnumMap<Urgency, Map<String, ArrayDeque<Job>>> queues = new EnumMap<>(Urgency.class);
+    /** Queues by level, the first level served first, and by team. */
+    private final TreeMap<Integer, Map<String, ArrayDeque<Job>>> queues = new TreeMap<>();
     /** Jobs that have waited too long to begin: ahead of everything, the oldest first. */
     private final ArrayDeque<Job> overdue = new ArrayDeque<>();
 
+    private final DisplacementOrder displacement;
     private final Function<String, Team> teams;
     private final Map<String, Resources> usage;
     private final Resources whole;
 
-    /** Sorts the jobs into their queues; {@code whole} is the room of all machines together. */
+    /**
+     * Sorts the jobs into their queues.
+     *
+     * @param displacement the order of all work while a zone is not present, else null
+     * @param whole the room of all machines together
+     */
     public TeamQueues(
             Iterable<Job> jobs,
             ToDoubleFunction<Job> dueOrder,
+            DisplacementOrder displacement,
             Function<String, Team> teams,
             Map<String, Resources> usage,
             Resources whole,
             double nowS) {
+        this.displacement = displacement;
         this.teams = teams;
         this.usage = usage;
         this.whole = whole;
         List<Job> sorted = new ArrayList<>();
-        for (Job j : jobs) {
-            sorted.add(j);
-        }
-        sorted.sort(Comparator.comparingDouble(dueOrder).thenComparing(j -> j.spec.id()));
+        jobs.forEach(sorted::add);
+        sorted.sort(
+                displacement != null
+                        ? displacement
+                        : Comparator.comparingDouble(dueOrder).thenComparing(job -> job.spec.id()));
         List<Job> late = new ArrayList<>();
-        for (Job j : sorted) {
-            if (!j.begun && nowS - j.seenS > Constants.BEGIN_WITHIN_S) {
-                late.add(j);
-                continue;
+        for (Job job : sorted) {
+            if (!job.begun && nowS - job.seenS > Constants.BEGIN_WITHIN_S) {
+                late.add(job);
+            } else {
+                queues.computeIfAbsent(level(job), level -> new HashMap<>())
+                        .computeIfAbsent(job.spec.team(), team -> new ArrayDeque<>())
+                        .add(job);
             }
-            queues.computeIfAbsent(j.spec.urgency(), u -> new HashMap<>())
-                    .computeIfAbsent(j.spec.team(), t -> new ArrayDeque<>())
-                    .add(j);
         }
-        late.sort(Comparator.comparingLong(j -> j.spec.submittedMs()));
+        late.sort(Comparator.comparingLong(job -> job.spec.submittedMs()));
         overdue.addAll(late);
     }
 
+    private int level(Job job) {
+        return displacement != null
+                ? displacement.level(job)
+                : -job.spec.urgency().ordinal();
+    }
+
     /** The next job, or null; {@code usage} may change between calls. */
     public Job next() {
         if (!overdue.isEmpty()) {
             return overdue.poll();
         }
-        for (int u = Urgency.values().length - 1; u >= 0; u--) {
-            Map<String, ArrayDeque<Job>> level = queues.get(Urgency.values()[u]);
-            if (level == null) {
-                continue;
+        for (Map<String, ArrayDeque<Job>> level : queues.values()) {
+            String team = nextTeam(level);
+            if (team != null) {
+                return level.get(team).poll();
             }
-            String best = null;
-            double least = Double.MAX_VALUE;
-            for (Map.Entry<String, ArrayDeque<Job>> e : level.entrySet()) {
-                if (e.getValue().isEmpty()) {
-                    continue;
-                }
-                double d = due(e.getKey());
-                if (d < least || d == least && (best == null || e.getKey().compareTo(best) < 0)) {
-                    least = d;
-                    best = e.getKey();
-                }
+        }
+        return null;
+    }
+
+    /** The team whose turn it is among the queues of one level, or null if all are empty. */
+    private String nextTeam(Map<String, ArrayDeque<Job>> level) {
+        String best = null;
+        double least = Double.MAX_VALUE;
+        for (Map.Entry<String, ArrayDeque<Job>> entry : level.entrySet()) {
+            if (entry.getValue().isEmpty()) {
+                continue;
             }
-            if (best != null) {
-                return level.get(best).poll();
+            String team = entry.getKey();
+            double due = due(team);
+            if (best == null || goesBefore(team, due, best, least, level)) {
+                least = due;
+                best = team;
             }
         }
-        return null;
+        return best;
+    }
+
+    private boolean goesBefore(
+            String team, double due, String other, double otherDue, Map<String, ArrayDeque<Job>> level) {
+        boolean bothBeyondGuarantees = due >= 1 && otherDue >= 1;
+        if (displacement != null && bothBeyondGuarantees) {
+            return displacement.compare(level.get(team).peek(), level.get(other).peek()) < 0;
+        }
+        return due < otherDue || due == otherDue && team.compareTo(other) < 0;
     }
 
     /** What a team uses, as a part of what it is due. */
     private double due(String name) {
-        Team t = teams.apply(name);
-        Resources u = usage.getOrDefault(name, Resources.ZERO);
-        double weight = t == null ? 1 : t.weight();
-        if (t != null && (t.cpus() > 0 || t.gpus() > 0)) {
-            return u.shareOf(new Resources(t.cpus(), t.gpus(), 0)) / weight;
+        Team team = teams.apply(name);
+        Resources used = usage.getOrDefault(name, Resources.ZERO);
+        double weight = team == null ? 1 : team.weight();
+        if (team != null && (team.cpus() > 0 || team.gpus() > 0)) {
+            return used.shareOf(new Resources(team.cpus(), team.gpus(), 0)) / weight;
         }
-        return 1 + u.shareOf(whole) / weight;
+        return 1 + used.shareOf(whole) / weight;
     }
 }
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -38,14 +38,15 @@
     private final Map<String, Double> departed = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Double> e) {
-            return size() > 2000;
+            // The list may show any of them for a while, and all machines may go at once.
+            return size() > Math.max(Constants.DEPARTED_LEAST, 2 * machines.size());
         }
     };
     /** Revisions at which jobs were moved to the finished ones, so that a late watch does not bring them back. */
     private final Map<String, Long> finished = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Long> e) {
-            return size() > 4000;
+            return size() > Math.max(Constants.FINISHED_LEAST, 2 * jobs.size());
         }
     };
 
@@ -60,6 +61,7 @@
     private final RecordRoom recordRoom = new RecordRoom();
     private final Map<String, List<String>> expected = new HashMap<>();
     private EventSummary events = new EventSummary();
+    private final StartCounts starts = new StartCounts();
     private long lostTasks;
     private long failedTasks;
     /** Jobs without accelerators that the cheap machines cannot serve in time, and may use whole accelerator machines. */
@@ -96,6 +98,16 @@
         hearingS = nowS;
     }
 
+    /** Whether the machine was heard of since we could hear. */
+    public boolean heardInTerm(Machine m) {
+        return m.heardS >= hearingS;
+    }
+
+    /** How starts went in each zone since this term began. */
+    public StartCounts starts() {
+        return starts;
+    }
+
     /** Seconds since the machine was last heard of, or since we could have heard it. */
     public double silentS(Machine m, double nowS) {
         return nowS - Math.max(m.heardS, hearingS);
@@ -294,7 +306,7 @@
     public boolean roomElsewhere(Placement p) {
         JobSpec s = p.job.spec;
         for (Machine m : machines.values()) {
-            if (!m.usable() || m.heldFor != null || m.name.equals(p.machine) || !m.strays.isEmpty()) {
+            if (!m.usable() || m.zoneHeldBack || m.heldFor != null || m.name.equals(p.machine) || !m.strays.isEmpty()) {
                 continue;
             }
             if (!s.allows(m.type.name(), m.zone, m.spot)
@@ -341,6 +353,9 @@
     void gone(Placement p, double nowS, double retryS, String why) {
         drop(p);
         Job j = p.job;
+        if (Double.isNaN(p.runningS) && !p.stopping) {
+            starts.addLost(p.zone);
+        }
         // A replica that is gone is missed by the second, and so is the room for one.
         roomFreed(j.spec.service() && !j.cancelled);
         if (retryS > 0) {
@@ -403,6 +418,11 @@
         roomCameFree |= waitedFor || !reservations.isEmpty() || serviceWaits;
     }
 
+    /** A task that was placed in this zone runs. */
+    void started(Placement p) {
+        starts.addSucceeded(p.zone);
+    }
+
     /** A task has failed by itself, on a machine that may be at fault. */
     void failed(Machine m, Job j, long attempt) {
         failedTasks++;
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -65,6 +65,10 @@
     public boolean releasing;
     /** Whether its failures have condemned it. */
     public boolean sick;
+    /** Whether its zone is lost, or gets work only by and by: no work elsewhere may count on its room. */
+    public boolean zoneHeldBack;
+    /** Whether its work is moved away because it is not needed any more; nothing new is placed on it. */
+    public boolean vacating;
 
     public double idleSinceS;
     /** The gang for which it is kept from being filled again, or null. */
@@ -152,7 +156,7 @@
 
     /** Whether new work may be placed here. */
     public boolean usable() {
-        return type != null && up && synced && !deaf && !releasing && !sick && Double.isNaN(takenS);
+        return type != null && up && synced && !deaf && !releasing && !sick && !vacating && Double.isNaN(takenS);
     }
 
     /** What its placements take, those on standby left out. */
--- a/src/main/java/org/mountlug/core/cluster/ReportHandler.java
+++ b/src/main/java/org/mountlug/core/cluster/ReportHandler.java
@@ -125,6 +125,7 @@
             ended(m, p, i, key, nowS);
         } else if (i.state() == TaskState.RUNNING && Double.isNaN(p.runningS)) {
             p.runningS = nowS;
+            cluster.started(p);
             if (p.job.spec.service()) {
                 p.job.touch(p.task, nowS, false); // its user is told how many run
             }
--- a/src/main/java/org/mountlug/core/scale/MachineDrain.java
+++ b/src/main/java/org/mountlug/core/scale/MachineDrain.java
@@ -5,6 +5,7 @@
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Placement;
+import org.mountlug.core.model.Urgency;
 
 /** Stops what runs on machines that are about to go, in time to save it, and moves replicas away one after the other. */
 final class MachineDrain {
@@ -17,7 +18,7 @@
     /** Tasks on machines that the cloud is about to take: they save and move on, the rest may finish in time. */
     void drain(double nowS) {
         for (Machine m : cluster.machines.values()) {
-            if (Double.isNaN(m.takenS) && !m.sick) {
+            if (Double.isNaN(m.takenS) && !m.sick && !m.vacating) {
                 continue;
             }
             for (Placement p : m.placed.values()) {
@@ -29,6 +30,9 @@
                     continue;
                 }
                 if (p.stopping || Double.isNaN(m.takenS) && s.checkpointS() == 0) {
+                    if (m.vacating && s.urgency() == Urgency.IDLE && !p.stopping) {
+                        p.stop(0);
+                    }
                     continue;
                 }
                 double left = Double.isNaN(m.takenS) ? 60 : m.takenS - nowS;
--- a/src/main/java/org/mountlug/core/scale/RentalPlan.java
+++ b/src/main/java/org/mountlug/core/scale/RentalPlan.java
@@ -23,25 +23,27 @@
     private final BootHistory boots;
     private final double spotRisk;
     private final double nowS;
-    private final Set<String> silentZones;
+    private final Set<String> barredZones;
     /** Kinds of machine that were refused, with the steady seconds until which they are not asked for. */
     private final Map<MachineKind, Double> exhausted;
 
     private final List<PlannedMachine> planned = new ArrayList<>();
     private final RefusedDemand refused = new RefusedDemand();
     private final Map<MachineKind, Integer> orders = new LinkedHashMap<>();
+    private int patientLeft = Integer.MAX_VALUE;
+    private boolean patient;
 
     RentalPlan(
             Cluster cluster,
             BootHistory boots,
             double spotRisk,
-            Set<String> silentZones,
+            Set<String> barredZones,
             Map<MachineKind, Double> exhausted,
             double nowS) {
         this.cluster = cluster;
         this.boots = boots;
         this.spotRisk = spotRisk;
-        this.silentZones = silentZones;
+        this.barredZones = barredZones;
         this.exhausted = exhausted;
         this.nowS = nowS;
     }
@@ -52,6 +54,16 @@
         planned.sort(Comparator.comparingDouble(machine -> machine.bootS));
     }
 
+    /** Limits how many machines are ordered for patient work, see {@link #patient}. */
+    void limitPatient(int most) {
+        patientLeft = most;
+    }
+
+    /** Tells whether what is ordered from now on is for work that can wait and see whether a lost zone comes back. */
+    void patient(boolean is) {
+        patient = is;
+    }
+
     /** How many machines of each kind to order. */
     Map<MachineKind, Integer> orders() {
         return orders;
@@ -84,7 +96,7 @@
 
     /** Orders machines for {@code wanted} tasks; returns how many they serve. */
     int rent(JobSpec spec, double expectedS, double horizonS, int wanted, boolean plainOnly) {
-        return rent(spec, expectedS, horizonS, wanted, plainOnly, silentZones);
+        return rent(spec, expectedS, horizonS, wanted, plainOnly, barredZones);
     }
 
     private int rent(
@@ -98,9 +110,11 @@
             MachineKind kind = best.machine.kind();
             int have = orders.getOrDefault(kind, 0);
             int take = Math.min(best.count, Constants.RENT_MAX * Constants.RENT_CALLS_A_KIND - have);
+            take = patient ? Math.min(take, patientLeft) : take;
             if (take <= 0) {
                 break;
             }
+            patientLeft -= patient ? take : 0;
             for (int i = 0; i < take && left > 0; i++) {
                 PlannedMachine machine = best.machine.another();
                 left -= Math.max(1, machine.takes(spec, expectedS, horizonS, left));
@@ -167,13 +181,13 @@
         boolean plain = spec.need().gpus() == 0;
         Map<String, Integer> zoneLeft = spec.apart() ? zoneLeft(spec, wanted, job) : new HashMap<>();
         int left = wanted - assignReplicas(spec, wanted, plain, zoneLeft);
-        zoneLeft.keySet().removeAll(silentZones);
+        zoneLeft.keySet().removeAll(barredZones);
         while (left > 0) {
             int asked = spec.apart() ? Math.min(left, most(zoneLeft)) : left;
             if (asked <= 0) {
                 return;
             }
-            Set<String> barred = new HashSet<>(silentZones);
+            Set<String> barred = new HashSet<>(barredZones);
             zoneLeft.forEach((zone, room) -> {
                 if (room < asked) {
                     barred.add(zone);
--- a/src/main/java/org/mountlug/core/scale/RentalPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/RentalPlanner.java
@@ -16,6 +16,8 @@
 import org.mountlug.core.model.Placement;
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.Team;
+import org.mountlug.core.zone.DisplacementOrder;
+import org.mountlug.core.zone.ZoneWatch;
 
 /**
  * Decides which machines to rent. Queued work is laid, as a fluid, over the machines there are and those that boot; what
@@ -27,7 +29,7 @@
     private final double leaseS;
     private final double spotRisk;
     private final BootHistory boots;
-    private final ZoneSilence zones;
+    private final ZoneWatch zones;
     private final ServiceDemand services;
     private final Map<MachineKind, Double> exhausted = new HashMap<>();
     /** Kinds that were refused and of which nothing was asked in vain since. */
@@ -41,7 +43,7 @@
             double leaseS,
             double spotRisk,
             BootHistory boots,
-            ZoneSilence zones,
+            ZoneWatch zones,
             ServiceDemand services) {
         this.cluster = cluster;
         this.aims = aims;
@@ -66,13 +68,14 @@
     /** What to rent now. */
     List<Rental> rentals(double nowS, double nowEpochS) {
         boots.observe(nowS);
-        Set<String> silentZones = zones.silentZones(nowS);
-        RentalPlan plan = new RentalPlan(cluster, boots, spotRisk, silentZones, exhausted, nowS);
-        plan.counts(countedOn(silentZones, nowS));
+        Set<String> barredZones = zones.barred(nowS);
+        RentalPlan plan = new RentalPlan(cluster, boots, spotRisk, barredZones, exhausted, nowS);
+        plan.counts(countedOn(barredZones, nowS));
+        plan.limitPatient(zones.rentable(nowS));
         Map<String, Resources> usage = cluster.usage();
         cluster.overflowing.clear();
         boolean headroomKept = false;
-        for (Job job : waiting()) {
+        for (Job job : waiting(nowEpochS)) {
             if (!job.spec.service() && !headroomKept) {
                 keepHeadroom(plan, nowEpochS); // ahead of work that ends
                 headroomKept = true;
@@ -89,10 +92,10 @@
     }
 
     /** The machines on which queued work may count, with what they have to do already. */
-    private List<PlannedMachine> countedOn(Set<String> silentZones, double nowS) {
+    private List<PlannedMachine> countedOn(Set<String> barredZones, double nowS) {
         List<PlannedMachine> counted = new ArrayList<>();
         for (Machine machine : cluster.machines.values()) {
-            double readyInS = readyInS(machine, silentZones, nowS);
+            double readyInS = readyInS(machine, barredZones, nowS);
             if (Double.isNaN(readyInS)) {
                 continue;
             }
@@ -115,13 +118,17 @@
     }
 
     /** Seconds until a machine can take work, NaN if it is not to be counted on. */
-    private double readyInS(Machine machine, Set<String> silentZones, double nowS) {
-        if (machine.type == null || machine.releasing || machine.sick || !Double.isNaN(machine.takenS)) {
+    private double readyInS(Machine machine, Set<String> barredZones, double nowS) {
+        if (machine.type == null
+                || machine.releasing
+                || machine.sick
+                || machine.vacating
+                || !Double.isNaN(machine.takenS)) {
             return Double.NaN;
         }
         if (machine.cameUp() && cluster.silentS(machine, nowS) > leaseS) {
             // One that the cloud still lists is likely cut off, and back before a new one is up.
-            boolean lost = machine.unlisted || Double.isNaN(machine.listedS) || silentZones.contains(machine.zone);
+            boolean lost = machine.unlisted || Double.isNaN(machine.listedS) || barredZones.contains(machine.zone);
             return lost ? Double.NaN : machine.type.bootS();
         }
         if (machine.up && machine.deaf) {
@@ -130,7 +137,7 @@
             return cluster.unheardS(machine, nowS) > leaseS ? Double.NaN : Constants.HEARS_AGAIN_S;
         }
         if (machine.up) {
-            return 0;
+            return zones.admits(machine.zone) ? 0 : Double.NaN;
         }
         // What is overdue may come yet, and is used or returned then; the work that waits for it is not left to it.
         if (!machine.cameUp() && machine.placed.isEmpty() && boots.overdue(machine, nowS)) {
@@ -140,16 +147,19 @@
     }
 
     /** Jobs with tasks that need a machine, the most urgent first. */
-    private List<Job> waiting() {
+    private List<Job> waiting(double nowEpochS) {
         List<Job> jobs = new ArrayList<>();
         for (Job job : cluster.jobs.values()) {
             if (!job.cancelled && unplaced(job) > 0 && !cluster.reservations.containsKey(job.spec.id())) {
                 jobs.add(job);
             }
         }
-        jobs.sort(Comparator.comparing((Job job) -> job.spec.urgency())
+        DisplacementOrder displacement =
+                zones.order(job -> aims.orderKey(job.spec, job.open(), cluster.expectedS(job), nowEpochS));
+        Comparator<Job> ordinary = Comparator.comparing((Job job) -> job.spec.urgency())
                 .reversed()
-                .thenComparingDouble(job -> aims.dueEpochS(job.spec, cluster.expectedS(job))));
+                .thenComparingDouble(job -> aims.dueEpochS(job.spec, cluster.expectedS(job)));
+        jobs.sort(displacement != null ? displacement : ordinary);
         return jobs;
     }
 
@@ -210,6 +220,7 @@
 
     private void plan(RentalPlan plan, Job job, int wanted, double nowEpochS) {
         JobSpec spec = job.spec;
+        plan.patient(!zones.urgent(job));
         if (spec.service()) {
             plan.replicas(spec, wanted, job);
             return;
--- a/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
@@ -11,15 +11,18 @@
 import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Placement;
+import org.mountlug.core.zone.ZoneWatch;
 
 /** Decides which machines to return: idle, condemned, never up, or silent beyond what is worth waiting for. */
 final class ReturnPlanner {
+    private static final String IDLE = "idle";
+
     private final Cluster cluster;
     private final double leaseS;
     private final double reportS;
     private final double idleKeepS;
     private final BootHistory boots;
-    private final ZoneSilence zones;
+    private final ZoneWatch zones;
     private final ServiceDemand services;
 
     ReturnPlanner(
@@ -28,7 +31,7 @@
             double reportS,
             double idleKeepS,
             BootHistory boots,
-            ZoneSilence zones,
+            ZoneWatch zones,
             ServiceDemand services) {
         this.cluster = cluster;
         this.leaseS = leaseS;
@@ -43,7 +46,7 @@
     private record View(
             Map<JobSpec, Integer> expectedReplicas,
             Set<String> quietZones,
-            Set<String> silentZones,
+            Set<String> disturbedZones,
             Set<String> reserved,
             Map<String, Machine> lastIdle,
             boolean trustSilence,
@@ -52,6 +55,7 @@
     /** Machines to return now; marks them. */
     List<String> returns(double nowS, double nowEpochS) {
         View view = view(nowS, nowEpochS);
+        int idleSubstitutes = zones.returnable();
         List<String> out = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             if (m.releasing) {
@@ -62,6 +66,9 @@
             if (why == null) {
                 continue;
             }
+            if (why.equals(IDLE) && zones.substitute(m) && idleSubstitutes-- <= 0) {
+                continue; // its zone has yet to show that it takes the work back
+            }
             m.releasing = true;
             cluster.event("returning, " + why, m.name);
             out.add(m.name);
@@ -72,10 +79,10 @@
     private View view(double nowS, double nowEpochS) {
         Map<JobSpec, Integer> expected = services.expectedReplicas(nowEpochS);
         expected.replaceAll((s, n) -> services.freeSlots(s) - n);
-        Set<String> quietZones = expected.isEmpty() && !services.hasServices() ? Set.of() : zones.quietZones(nowS);
+        Set<String> quietZones = expected.isEmpty() && !services.hasServices() ? Set.of() : zones.quiet(nowS);
         Set<String> reserved = new HashSet<>();
         cluster.reservations.values().forEach(l -> l.forEach(r -> reserved.add(r.machine())));
-        return new View(expected, quietZones, zones.silentZones(nowS), reserved, lastIdle(), trustSilence(nowS), nowS);
+        return new View(expected, quietZones, zones.disturbed(nowS), reserved, lastIdle(), trustSilence(nowS), nowS);
     }
 
     /** Whether silence is the machines' own: when most are silent it is more likely us who cannot hear. */
@@ -140,7 +147,10 @@
         if (m.sick && m.placed.isEmpty()) {
             return "sick";
         }
-        return idle(m, view) ? "idle" : null;
+        if (m.vacating && m.empty()) {
+            return "vacated";
+        }
+        return idle(m, view) ? IDLE : null;
     }
 
     private boolean neverCameUp(Machine m, double nowS) {
@@ -161,7 +171,7 @@
 
     /** A silent machine that the cloud still lists is worth waiting for as long as a new one would take to come up. */
     private static double worthWaitingS(Machine m, View view) {
-        if (view.silentZones.contains(m.zone)) {
+        if (view.disturbedZones.contains(m.zone)) {
             return Constants.SILENT_ZONE_S;
         }
         return Double.isNaN(m.listedS) ? 0 : bootS(m) - Constants.SILENT_RELEASE_S;
--- a/src/main/java/org/mountlug/core/scale/Scaler.java
+++ b/src/main/java/org/mountlug/core/scale/Scaler.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.model.Aims;
+import org.mountlug.core.zone.ZoneWatch;
 
 /** The size of the fleet: what to rent, what to return, and what to stop on machines that are about to go. */
 public final class Scaler {
@@ -11,9 +12,15 @@
     private final MachineDrain drain;
 
     /** Decides for the machines of this cluster; {@code spotRisk} is a factor on spot prices. */
-    public Scaler(Cluster cluster, Aims aims, double leaseS, double reportS, double idleKeepS, double spotRisk) {
+    public Scaler(
+            Cluster cluster,
+            ZoneWatch zones,
+            Aims aims,
+            double leaseS,
+            double reportS,
+            double idleKeepS,
+            double spotRisk) {
         BootHistory boots = new BootHistory(cluster);
-        ZoneSilence zones = new ZoneSilence(cluster, leaseS, reportS);
         ServiceDemand services = new ServiceDemand(cluster);
         rentals = new RentalPlanner(cluster, aims, leaseS, spotRisk, boots, zones, services);
         returns = new ReturnPlanner(cluster, leaseS, reportS, idleKeepS, boots, zones, services);
--- /dev/null
+++ b/src/main/java/org/mountlug/node/AnnouncedVersions.java
@@ -0,0 +1,68 @@
+package org.mountlug.node;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.mountlug.Constants;
+import org.mountlug.settings.Settings;
+import org.mountlug.store.RecordCodec;
+import org.mountlug.wire.Fields;
+
+/**
+ * What every controller of the settings is durably known to understand, by what each has written itself. Not by what a peer
+ * says: only what is durable still holds for the next leader. Once true in a term it stays so.
+ */
+final class AnnouncedVersions {
+    private final LeaderTerm term;
+    private boolean parts;
+    private boolean zones;
+    private boolean reading;
+    private double nextReadS;
+
+    AnnouncedVersions(LeaderTerm term) {
+        this.term = term;
+    }
+
+    /** Looks again while some controller is not known to understand everything. */
+    void tick(double nowS) {
+        if (parts && zones || reading || nowS < nextReadS) {
+            return;
+        }
+        reading = true;
+        nextReadS = nowS + Constants.VERSIONS_MS / 1000.0;
+        term.environment.state().list(RecordCodec.VERSIONS, null, answer -> {
+            reading = false;
+            if (!term.ended() && answer.status() == 200) {
+                read(answer.body());
+            }
+        });
+    }
+
+    private void read(Map<String, Object> body) {
+        Map<String, Map<String, Object>> announced = new HashMap<>();
+        for (Object element : Fields.list(body, "rows")) {
+            Map<String, Object> row = Fields.map(element);
+            String label = Fields.str(row, "k").substring(RecordCodec.VERSIONS.length());
+            announced.put(label, Fields.map(row.get("v")));
+        }
+        parts |= all(announced, RecordCodec::readsParts);
+        zones |= all(announced, RecordCodec::readsZones);
+    }
+
+    private boolean all(Map<String, Map<String, Object>> announced, Predicate<Map<String, Object>> understands) {
+        Settings settings = term.environment.settings();
+        return understands.test(announced.getOrDefault(settings.label(), Map.of()))
+                && settings.others().stream()
+                        .allMatch(peer -> understands.test(announced.getOrDefault(peer.label(), Map.of())));
+    }
+
+    /** Whether all read records in parts. */
+    boolean readParts() {
+        return parts;
+    }
+
+    /** Whether all read the record of the zones' state. */
+    boolean readZones() {
+        return zones;
+    }
+}
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -311,7 +311,14 @@
         }
         if (leader == null && election.leading()) {
             LOG.info("elected with token {}", election.token());
-            leader = new Leader(environment, election, aims, types.values(), finals, metrics);
+            leader = new Leader(
+                    environment,
+                    election,
+                    aims,
+                    types.values(),
+                    finals,
+                    metrics,
+                    () -> peerView.reportsElsewhere(clockS.getAsDouble()));
             metrics.leading(true);
         }
     }
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import org.mountlug.Constants;
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.allocate.ReplicaTimes;
@@ -20,6 +21,8 @@
 import org.mountlug.core.model.Reservation;
 import org.mountlug.core.preempt.Preemptor;
 import org.mountlug.core.scale.Scaler;
+import org.mountlug.core.zone.DisplacementOrder;
+import org.mountlug.core.zone.ZoneWatch;
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
 import org.mountlug.store.Budget;
@@ -45,7 +48,11 @@
     private final Budget writes;
     private final Metrics metrics;
     private final LiveRecords records;
+    private final AnnouncedVersions versions;
     private final RecordLayout layout;
+    private final ZoneWatch zones;
+    private final ZoneStore zoneStore;
+    private final IntSupplier reportsElsewhere;
     private final ReservationWriter reservations;
     private final RecordWriter writer;
     private final DirectCommands commands;
@@ -66,7 +73,9 @@
             Aims aims,
             Collection<MachineType> types,
             FinalStates finals,
-            Metrics metrics) {
+            Metrics metrics,
+            IntSupplier reportsElsewhere) {
+        this.reportsElsewhere = reportsElsewhere;
         this.aims = aims;
         this.metrics = metrics;
         settings = environment.settings();
@@ -75,15 +84,24 @@
         cluster = term.cluster;
         cluster.catalogue(types);
         cluster.valueLimit(settings.valueKb());
+        zones = new ZoneWatch(cluster, operators.zones(), settings.leaseS(), settings.reportS());
         scaler = new Scaler(
-                cluster, aims, settings.leaseS(), settings.reportS(), operators.idleKeepS(), operators.spotRisk());
+                cluster,
+                zones,
+                aims,
+                settings.leaseS(),
+                settings.reportS(),
+                operators.idleKeepS(),
+                operators.spotRisk());
         preemptor = new Preemptor(cluster);
         double writesPerS = settings.stateWriteRps() * Constants.LEADER_WRITE_SHARE;
         writes = new Budget(writesPerS, writesPerS);
         beganS = term.nowS();
         cluster.woke(beganS); // who was silent before was not silent to us
         records = new LiveRecords(environment.state(), environment.clockS(), environment.timer(), new Records());
-        layout = new RecordLayout(term);
+        versions = new AnnouncedVersions(term);
+        layout = new RecordLayout(term, versions);
+        zoneStore = new ZoneStore(term, writes, zones, versions);
         reservations = new ReservationWriter(term);
         writer = new RecordWriter(term, writes, layout, reservations, records, (job, done) -> {
             finals.put(job.spec.id(), done, job.spec.tasks());
@@ -241,7 +259,8 @@
             return;
         }
         double now = term.nowS();
-        layout.tick(now);
+        versions.tick(now);
+        layout.tick();
         fleet.tick(now);
         roundIfTime(now);
         commands.send(now);
@@ -249,6 +268,7 @@
             nextImagesS = now + Constants.IMAGES_MS / 1000.0;
             writeImages(now);
         }
+        zoneStore.tick(now);
         writer.tick(now);
     }
 
@@ -285,35 +305,42 @@
 
     private void round(double now) {
         // Judging by silence needs a lease: otherwise another leader may be keeping the machines alive.
-        if (!term.proven(now)) {
+        if (!term.proven(now) || !zoneStore.ready()) {
             return;
         }
         cluster.expireLeases(now);
+        zones.observe(reportsElsewhere.getAsInt(), now);
         cluster.reviewStandbys(now);
+        zones.moveBack(now);
         scaler.drain(now);
         double epochS = term.environment.epochMs().getAsLong() / 1000.0;
         ReplicaTimes times = new ReplicaTimes(job -> aims.withinS(job.spec, 0), now);
         Allocator allocator = new Allocator(
-                cluster, job -> aims.orderKey(job.spec, job.open(), cluster.expectedS(job), epochS), times, now);
+                cluster, zones, job -> aims.orderKey(job.spec, job.open(), cluster.expectedS(job), epochS), times, now);
         metrics.placed(allocator.round());
-        preemptor.round(unplaced(), allocator.nodes(), allocator.usage(), times, now);
+        preemptor.round(unplaced(epochS), allocator.nodes(), allocator.usage(), times, now);
         fleet.round(now, epochS);
         log(cluster.takeEvents());
+        zones.takeTransitions().forEach(line -> LOG.info("{}", line));
+        metrics.zones(zones.status());
         metrics.reserved(cluster.reservations.size());
         metrics.fleet(cluster.status(now));
     }
 
     /** Jobs that wait for room, the most urgent first. */
-    private List<Job> unplaced() {
+    private List<Job> unplaced(double nowEpochS) {
         List<Job> unplaced = new ArrayList<>();
         for (Job job : cluster.jobs.values()) {
             if (!job.cancelled && job.open() > 0) {
                 unplaced.add(job);
             }
         }
-        unplaced.sort(Comparator.comparing((Job job) -> job.spec.urgency())
+        DisplacementOrder displacement =
+                zones.order(job -> aims.orderKey(job.spec, job.open(), cluster.expectedS(job), nowEpochS));
+        Comparator<Job> ordinary = Comparator.comparing((Job job) -> job.spec.urgency())
                 .reversed()
-                .thenComparingDouble(job -> aims.dueEpochS(job.spec, job.spec.expectedS())));
+                .thenComparingDouble(job -> aims.dueEpochS(job.spec, job.spec.expectedS()));
+        unplaced.sort(displacement != null ? displacement : ordinary);
         return unplaced;
     }
 
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -1,12 +1,17 @@
 package org.mountlug.node;
 
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.ToDoubleFunction;
 import org.mountlug.core.cluster.FleetStatus;
+import org.mountlug.core.zone.ZoneStatus;
 
 /**
  * The service's meters. The registry is built when first asked for: its start-up costs more of a quarter of a core than
@@ -26,7 +31,10 @@
     private volatile FleetStatus fleet = new FleetStatus(0, 0, 0, 0, 0, 0, 0, 0);
     private final AtomicInteger reservations = new AtomicInteger();
     private final AtomicInteger leading = new AtomicInteger();
+    private volatile List<ZoneStatus> zones = List.of();
     private PrometheusMeterRegistry registry;
+    private MultiGauge zoneStates;
+    private MultiGauge zoneWindows;
 
     /** Counts tasks that a round has placed. */
     public void placed(int n) {
@@ -83,6 +91,11 @@
         fleet = status;
     }
 
+    /** Shows how the zones stand, as the leader tracks them. */
+    public void zones(List<ZoneStatus> status) {
+        zones = status;
+    }
+
     /** Shows how many gangs hold reservations. */
     public void reserved(int gangs) {
         reservations.set(gangs);
@@ -117,11 +130,23 @@
             gauge("mountlug.term.tasks.failed", FleetStatus::failed);
             Gauge.builder("mountlug.reservations", reservations, AtomicInteger::get)
                     .register(registry);
+            zoneStates = MultiGauge.builder("mountlug.zone.state").register(registry);
+            zoneWindows = MultiGauge.builder("mountlug.zone.ramp.starts").register(registry);
             Gauge.builder("mountlug.leading", leading, AtomicInteger::get).register(registry);
         }
+        zoneStates.register(rows(zone -> zone.state().ordinal()), true);
+        zoneWindows.register(rows(ZoneStatus::window), true);
         return registry.scrape();
     }
 
+    private List<MultiGauge.Row<?>> rows(ToDoubleFunction<ZoneStatus> value) {
+        List<MultiGauge.Row<?>> rows = new ArrayList<>();
+        for (ZoneStatus zone : zones) {
+            rows.add(MultiGauge.Row.of(Tags.of("zone", zone.zone()), value.applyAsDouble(zone)));
+        }
+        return rows;
+    }
+
     private void gauge(String name, ToDoubleFunction<FleetStatus> value) {
         Gauge.builder(name, this, metrics -> value.applyAsDouble(metrics.fleet)).register(registry);
     }
--- a/src/main/java/org/mountlug/node/RecordLayout.java
+++ b/src/main/java/org/mountlug/node/RecordLayout.java
@@ -1,14 +1,10 @@
 package org.mountlug.node;
 
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
-import org.mountlug.Constants;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.MachineType;
-import org.mountlug.settings.Settings;
 import org.mountlug.store.RecordCodec;
-import org.mountlug.wire.Fields;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,48 +16,20 @@
     /** Whether every controller is durably known to read parts. */
     private boolean parts;
 
-    private boolean reading;
-    private double nextReadS;
+    private final AnnouncedVersions versions;
 
-    RecordLayout(LeaderTerm term) {
+    RecordLayout(LeaderTerm term, AnnouncedVersions versions) {
         this.term = term;
+        this.versions = versions;
     }
 
-    /** Looks whether parts may be written, as long as they may not. */
-    void tick(double nowS) {
-        if (!parts && nowS >= nextReadS && !reading) {
-            readVersions(nowS);
+    /** Notices when parts may be written. */
+    void tick() {
+        if (!parts && versions.readParts()) {
+            allowParts();
         }
     }
 
-    /**
-     * Whether every controller that the settings name runs code that reads parts, by what each has written itself. Not
-     * by what a peer says: only what is durable still holds for the next leader.
-     */
-    private void readVersions(double nowS) {
-        reading = true;
-        nextReadS = nowS + Constants.VERSIONS_MS / 1000.0;
-        term.environment.state().list(RecordCodec.VERSIONS, null, answer -> {
-            reading = false;
-            if (!term.ended() && answer.status() == 200 && allRead(answer.body())) {
-                allowParts();
-            }
-        });
-    }
-
-    private boolean allRead(Map<String, Object> body) {
-        Set<String> readers = new HashSet<>();
-        for (Object row : Fields.list(body, "rows")) {
-            Map<String, Object> version = Fields.map(row);
-            if (Fields.num(Fields.map(version.get("v")), "layout", 1) >= RecordCodec.LAYOUT) {
-                readers.add(Fields.str(version, "k").substring(RecordCodec.VERSIONS.length()));
-            }
-        }
-        Settings settings = term.environment.settings();
-        return readers.contains(settings.label())
-                && settings.others().stream().allMatch(peer -> readers.contains(peer.label()));
-    }
-
     private void allowParts() {
         LOG.info("every controller reads parts of records; they are written from now on");
         parts = true;
--- a/src/main/java/org/mountlug/node/VersionAnnouncement.java
+++ b/src/main/java/org/mountlug/node/VersionAnnouncement.java
@@ -33,7 +33,8 @@
         nextS = now + Constants.ANNOUNCE_MS / 1000.0;
         String key = RecordCodec.VERSIONS + label;
         state.get(key, Constants.STATE_TIMEOUT_MS, a -> {
-            if (a.status() == 200 && Fields.num(Fields.map(a.body().get("v")), "layout", 0) == RecordCodec.LAYOUT) {
+            Map<String, Object> written = Fields.map(a.body().get("v"));
+            if (a.status() == 200 && RecordCodec.readsParts(written) && RecordCodec.readsZones(written)) {
                 announced = true;
             }
             if (announced || a.status() != 200 && a.status() != 404) {
@@ -41,8 +42,7 @@
                 return;
             }
             state.commit(
-                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, Map.of("layout", (long)
-                            RecordCodec.LAYOUT)),
+                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, RecordCodec.announcement()),
                     b -> {
                         announcing = false;
                         announced = b.status() == 200;
--- a/src/main/java/org/mountlug/settings/Settings.java
+++ b/src/main/java/org/mountlug/settings/Settings.java
@@ -109,6 +109,7 @@
                     Fields.dec(x, "within_s", Double.NaN),
                     Fields.dec(x, "share", Double.NaN)));
         }
+        operators.check(objectives);
         Reader w = cluster.table("workers");
         Reader s = cluster.table("state");
         Reader next = s.m.get("next") == null ? new Reader("", Map.of()) : s.table("next");
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -43,6 +43,9 @@
     public static final String REPORT_COUNTS = "h/";
     /** The layout of records that this version reads: 2 has parts. */
     public static final int LAYOUT = 2;
+
+    private static final String READS_LAYOUT = "layout";
+    private static final String READS_ZONES = "zones";
     /** Characters of a record beside its description and tasks: keys, write, zones, counts, failures. */
     private static final int FIXED_CHARS = 300;
     /** The same of a part. */
@@ -60,6 +63,23 @@
 
     private RecordCodec() {}
 
+    // ---- versions ---------------------------------------------------------------------------------------------
+
+    /** What a controller of this version writes of itself. */
+    public static Map<String, Object> announcement() {
+        return Fields.ordered(READS_LAYOUT, (long) LAYOUT, READS_ZONES, true);
+    }
+
+    /** Whether a controller that announced this reads records in parts. */
+    public static boolean readsParts(Map<String, Object> announcement) {
+        return Fields.num(announcement, READS_LAYOUT, 1) >= LAYOUT;
+    }
+
+    /** Whether a controller that announced this reads the record of the zones' state. */
+    public static boolean readsZones(Map<String, Object> announcement) {
+        return Fields.bool(announcement, READS_ZONES);
+    }
+
     // ---- specification ----------------------------------------------------------------------------------------
 
     /** The specification as it stands in a record. */
--- a/src/main/java/org/mountlug/wire/Fields.java
+++ b/src/main/java/org/mountlug/wire/Fields.java
@@ -1,5 +1,6 @@
 package org.mountlug.wire;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -7,6 +8,15 @@
 public final class Fields {
     private Fields() {}
 
+    /** A map of these names and values, in this order. */
+    public static Map<String, Object> ordered(Object... namesAndValues) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < namesAndValues.length; i += 2) {
+            map.put((String) namesAndValues[i], namesAndValues[i + 1]);
+        }
+        return map;
+    }
+
     /** A text, or null. */
     public static String str(Map<String, Object> m, String k) {
         return m.get(k) instanceof String s ? s : null;
--- a/src/test/java/org/mountlug/Samples.java
+++ b/src/test/java/org/mountlug/Samples.java
@@ -16,6 +16,8 @@
 import org.mountlug.core.model.TaskState;
 import org.mountlug.core.model.Team;
 import org.mountlug.core.model.Urgency;
+import org.mountlug.core.zone.ZoneSettings;
+import org.mountlug.core.zone.ZoneWatch;
 
 /** Small worlds for the tests. */
 public final class Samples {
@@ -35,6 +37,11 @@
         return c;
     }
 
+    /** Zones that are not tracked. */
+    public static ZoneWatch zones(Cluster c) {
+        return new ZoneWatch(c, ZoneSettings.disabled(), 10, 2);
+    }
+
     /** A job of tasks that all need the same, run as a gang or as an array. */
     public static JobSpec spec(String id, boolean gang, int tasks, Resources need, Urgency u) {
         return spec(id, gang ? Shape.GANG : Shape.ARRAY, tasks, need, u);
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -27,7 +27,8 @@
     private static final Resources WHOLE_GPU = new Resources(20, 2, 60);
 
     private static int round(Cluster c, double now) {
-        return new Allocator(c, j -> j.spec.submittedMs(), new ReplicaTimes(j -> 8, now), now).round();
+        return new Allocator(c, Samples.zones(c), j -> j.spec.submittedMs(), new ReplicaTimes(j -> 8, now), now)
+                .round();
     }
 
     @Test
--- a/src/test/java/org/mountlug/core/PreemptorTest.java
+++ b/src/test/java/org/mountlug/core/PreemptorTest.java
@@ -63,9 +63,9 @@
             Samples.up(c, "n-" + i, "gpu", "a");
             victims.add(Samples.live(c, of("wk-10000" + i, "u", theirs)));
         }
-        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
+        new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         Job gang = Samples.live(c, of("wk-000002", "t", mine));
-        Allocator round = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 2), 2);
+        Allocator round = new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 2), 2);
         round.round();
         new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), new ReplicaTimes(j -> 8, 2), 2);
         assertEquals(
@@ -75,7 +75,7 @@
             return;
         }
         // The room counts as releasing, so the next round reserves it for the gang.
-        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
+        new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
         assertEquals(1, c.reservations.get("wk-000002").size());
     }
 
@@ -113,7 +113,7 @@
                             Double.NaN,
                             0)));
         }
-        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
+        new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         List<Job> mine = new ArrayList<>();
         for (int i = 0; i < waiting; i++) {
             mine.add(Samples.live(c, of("wk-20000" + i, "t", Urgency.STANDARD)));
@@ -121,7 +121,7 @@
         Preemptor p = new Preemptor(c);
         for (int round = 0; round < 4; round++) {
             double now = 2 + 4 * round;
-            Allocator a = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, now), now);
+            Allocator a = new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, now), now);
             a.round();
             p.round(mine, a.nodes(), a.usage(), new ReplicaTimes(j -> 8, now), now);
         }
@@ -144,18 +144,18 @@
             Samples.up(c, "n-" + i, "gpu", "a");
             all.add(Samples.live(c, of("wk-10000" + i, "t", i < low ? Urgency.IDLE : Urgency.HIGH)));
         }
-        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
+        new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         for (int i = 0; i < idle; i++) {
             Samples.up(c, "n-9" + i, "gpu", "a");
         }
         JobSpec s = Samples.zones(
                 Samples.spec("wk-000002", true, tasks, new Resources(20, 2, 60), Urgency.HIGH), true, false);
         Job gang = Samples.live(c, s);
-        Allocator round = new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 2), 2);
+        Allocator round = new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 2), 2);
         round.round();
         new Preemptor(c).round(List.of(gang), round.nodes(), round.usage(), new ReplicaTimes(j -> 8, 2), 2);
         assertEquals(stopped, all.stream().filter(v -> v.placed.get(0).stopping).count());
-        new Allocator(c, j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
+        new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 3), 3).round();
         assertEquals(stopped > 0, c.reservations.containsKey("wk-000002"));
     }
 }
--- a/src/test/java/org/mountlug/core/ReplicasTest.java
+++ b/src/test/java/org/mountlug/core/ReplicasTest.java
@@ -34,7 +34,7 @@
     }
 
     private static Scaler scaler(Cluster c) {
-        return new Scaler(c, new Aims(), 10, 2, 20, 1.15);
+        return new Scaler(c, Samples.zones(c), new Aims(), 10, 2, 20, 1.15);
     }
 
     private static ReplicaTimes times(double nowS) {
@@ -105,10 +105,10 @@
         Samples.up(c, "n-1", type, "a");
         Job other =
                 Samples.live(c, Samples.spec("wk-000001", shape, gpus == 1 ? 2 : 1, new Resources(cpus, gpus, 8), u));
-        new Allocator(c, j -> 0, times(5), 5).round();
+        new Allocator(c, Samples.zones(c), j -> 0, times(5), 5).round();
         assertFalse(other.placed.isEmpty());
         Job j = service(c, 2);
-        Allocator a = new Allocator(c, x -> 0, times(6), 6);
+        Allocator a = new Allocator(c, Samples.zones(c), x -> 0, times(6), 6);
         a.round();
         new Preemptor(c).round(List.of(j), a.nodes(), a.usage(), times(6), 6);
         assertEquals(stopped, other.placed.values().stream().anyMatch(p -> p.stopping));
@@ -201,7 +201,7 @@
         c.place(j, 0, 1, m, 0).runningS = 0;
         Samples.live(c, Samples.spec("wk-000001", Shape.GANG, 1, new Resources(20, 2, 60), Urgency.PROD));
         Samples.live(c, Samples.spec("wk-000002", Shape.ARRAY, 4, new Resources(20, 0, 60), Urgency.HIGH));
-        new Allocator(c, x -> 0, times(5000), 5000).round();
+        new Allocator(c, Samples.zones(c), x -> 0, times(5000), 5000).round();
         assertEquals(null, m.heldFor);
         assertEquals(1, m.placed.size());
     }
@@ -216,7 +216,7 @@
         Samples.up(c, "n-2", "gpu", "a");
         Samples.live(c, Samples.spec("wk-000001", true, 2, new Resources(18, 2, 77), Urgency.HIGH));
         Job j = service(c, 6);
-        new Allocator(c, x -> 0, times(5), 5).round();
+        new Allocator(c, Samples.zones(c), x -> 0, times(5), 5).round();
         assertEquals(
                 1,
                 j.placed.values().stream().filter(p -> p.machine.equals("n-1")).count());
@@ -226,7 +226,7 @@
         c.machines.get("n-1").images.add("img");
         Job k = Samples.live(c, Samples.spec("wk-000010", Shape.SERVICE, 6, NEED, Urgency.PROD));
         k.seenS = 5;
-        new Allocator(c, x -> 0, times(6), 6).round();
+        new Allocator(c, Samples.zones(c), x -> 0, times(6), 6).round();
         assertEquals(
                 6,
                 k.placed.values().stream().filter(p -> p.machine.equals("n-1")).count());
--- a/src/test/java/org/mountlug/core/ScalerTest.java
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -26,7 +26,7 @@
 class ScalerTest {
     private static final double KEEP = 20;
     private final Cluster c = Samples.cluster(new Team("t", 0, 40, 0, 0, 1));
-    private final Scaler s = new Scaler(c, new Aims(), 10, 2, KEEP, 1.15);
+    private final Scaler s = new Scaler(c, Samples.zones(c), new Aims(), 10, 2, KEEP, 1.15);
 
     @Test
     void workThatWaitsRentsTheCheapestKindAndNamesNeverRepeat() {
@@ -206,7 +206,7 @@
     void aLargeQueueIsMetAtOnceInRequestsOfWhatOneMayName() {
         Cluster big = Samples.cluster(new Team("t", 0, 0, 0, 0, 1));
         Samples.live(big, Samples.array("wk-000001", 2000));
-        List<Rental> l = new Scaler(big, new Aims(), 10, 2, KEEP, 1.15).rentals(0, 250);
+        List<Rental> l = new Scaler(big, Samples.zones(big), new Aims(), 10, 2, KEEP, 1.15).rentals(0, 250);
         assertTrue(l.stream().mapToInt(Rental::count).sum() > 100);
         assertTrue(l.stream().allMatch(r -> r.count() <= 50));
         assertEquals(l.size(), l.stream().map(Rental::name).distinct().count());
