--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -53,6 +53,8 @@
     public static final int LAZY_FLUSH_MS = 2500;
     /** Milliseconds between two notes of which machine has which image; a help for the next leader only. */
     public static final int IMAGES_MS = 5000;
+    /** Notes of images written at a time: a fleet of thousands has dozens, and none is urgent. */
+    public static final int IMAGE_NOTES_A_TURN = 4;
     /** Milliseconds between two looks at what the other controllers read, while one of them runs an older version. */
     public static final int VERSIONS_MS = 2000;
     /** Milliseconds between two tries of a controller to write down what it reads. */
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -105,6 +105,11 @@
         environment.timer().accept(r, ms);
     }
 
+    /** Machines that are heard, as far as this controller leads. */
+    int machinesUp() {
+        return leader == null ? 0 : leader.machinesUp();
+    }
+
     /** How the zones stand, as far as this controller leads. */
     List<ZoneStatus> zones() {
         return leader == null ? List.of() : leader.zones();
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -53,6 +53,7 @@
     private final RecordLayout layout;
     private final ZoneWatch zones;
     private final ZoneStore zoneStore;
+    private final ImageNotes images;
     private final IntSupplier reportsElsewhere;
     private final ReservationWriter reservations;
     private final RecordWriter writer;
@@ -65,9 +66,6 @@
     /** Whether somebody waits for the next round by the second. */
     private boolean roundWanted;
 
-    private double nextImagesS;
-    private Map<String, Object> imagesWritten = Map.of();
-
     Leader(
             Environment environment,
             Election election,
@@ -102,6 +100,7 @@
         records = new LiveRecords(environment.state(), environment.clockS(), environment.timer(), new Records());
         versions = new AnnouncedVersions(term);
         layout = new RecordLayout(term, versions);
+        images = new ImageNotes(term, writes);
         zoneStore = new ZoneStore(term, writes, zones, versions);
         reservations = new ReservationWriter(term);
         writer = new RecordWriter(term, writes, layout, reservations, records, (job, done) -> {
@@ -202,13 +201,7 @@
 
         @Override
         public void images(Map<String, Object> byMachine) {
-            imagesWritten = byMachine;
-            for (Map.Entry<String, Object> entry : byMachine.entrySet()) {
-                if (entry.getValue() instanceof List<?> images) {
-                    cluster.expectImages(
-                            entry.getKey(), images.stream().map(String::valueOf).toList());
-                }
-            }
+            images.loaded(RecordCodec.IMAGES, byMachine);
         }
 
         @Override
@@ -270,10 +263,7 @@
         fleet.tick(now);
         roundIfTime(now);
         commands.send(now);
-        if (now >= nextImagesS) {
-            nextImagesS = now + Constants.IMAGES_MS / 1000.0;
-            writeImages(now);
-        }
+        images.tick(now);
         zoneStore.tick(now);
         writer.tick(now);
     }
@@ -297,18 +287,6 @@
         }
     }
 
-    private void writeImages(double now) {
-        Map<String, Object> images = RecordCodec.images(cluster.machines.values(), term.valueChars());
-        if (images.equals(imagesWritten) || !term.proven(now) || !writes.take(now, 1)) {
-            return;
-        }
-        term.environment.state().commit(term.change().put(RecordCodec.IMAGES, images), answer -> {
-            if (answer.status() == 200) {
-                imagesWritten = images;
-            }
-        });
-    }
-
     private void round(double now) {
         // Judging by silence needs a lease: otherwise another leader may be keeping the machines alive.
         if (!term.proven(now) || !zoneStore.ready()) {
--- a/src/main/java/org/mountlug/node/LiveRecords.java
+++ b/src/main/java/org/mountlug/node/LiveRecords.java
@@ -42,7 +42,8 @@
         /** Reservations as an earlier leader left them, by key, and the revisions of their keys. */
         void reservations(Map<String, List<Reservation>> byJob, Map<String, Long> stamps);
 
-        void images(Map<String, Object> v);
+        /** The first note of which machines have which images, as an earlier leader left it. */
+        void images(Map<String, Object> byMachine);
 
         /** Everything has been read. */
         void loaded();
@@ -277,17 +278,20 @@
             if (a.status() == 200) {
                 term.images(Fields.map(a.body().get("v")));
             }
-            loaded = true;
-            for (String id : List.copyOf(noticed.keySet())) {
-                if (!term.knows(id)) {
-                    continue;
-                }
+            finishLoading();
+        });
+    }
+
+    private void finishLoading() {
+        loaded = true;
+        for (String id : List.copyOf(noticed.keySet())) {
+            if (term.knows(id)) {
                 noticed.remove(id);
                 term.cancelled(id);
             }
-            term.loaded();
-            watch();
-        });
+        }
+        term.loaded();
+        watch();
     }
 
     // ---- watching ---------------------------------------------------------------------------------------------
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,8 @@
     public static final String LEADER = "leader";
     public static final String CATALOGUE = "catalogue";
     public static final String IMAGES = "images";
+    /** Further notes of images, by number, which production does not read. */
+    public static final String MORE_IMAGES = "i/";
     /** Parts of live jobs, by job and number. */
     public static final String PARTS = "p/";
     /** What each controller can read, by its label. */
@@ -442,28 +445,57 @@
 
     // ---- images -----------------------------------------------------------------------------------------------
 
-    /** Which machines should have which images: a help for placing, cut off where it would pass the value limit. */
-    public static Map<String, Object> images(Iterable<Machine> machines, int mostChars) {
-        Map<String, Object> m = new LinkedHashMap<>();
-        int size = 0;
-        for (Machine x : machines) {
-            if (x.images.isEmpty()) {
-                continue;
-            }
-            List<String> l = new ArrayList<>(x.images);
-            if (l.size() > IMAGES_MOST) {
-                l = l.subList(l.size() - IMAGES_MOST, l.size());
-            }
-            for (String s : l) {
-                size += s.length() + 3;
+    /** The key of a note of images: the first one is the only one that production knows. */
+    public static String imagesKey(int note) {
+        return note == 0 ? IMAGES : MORE_IMAGES + note;
+    }
+
+    /**
+     * Which machines should have which images, a help for placing: in as many notes as the fleet needs, each machine always
+     * in the same one, so that a change is one write.
+     */
+    public static List<Map<String, Object>> images(Collection<Machine> machines, int mostChars) {
+        Map<Machine, List<String>> images = new LinkedHashMap<>();
+        long chars = 0;
+        for (Machine machine : machines) {
+            if (!machine.images.isEmpty()) {
+                List<String> latest = latestImages(machine);
+                images.put(machine, latest);
+                chars += imageChars(machine, latest);
             }
-            size += x.name.length() + 6;
-            if (size > mostChars) {
-                break;
+        }
+        int count = 1;
+        // Half full in the mean, as names fall into notes by chance.
+        while (chars > mostChars && (long) count * mostChars < 2 * chars) {
+            count *= 2;
+        }
+        List<Map<String, Object>> notes = new ArrayList<>();
+        int[] size = new int[count];
+        for (int i = 0; i < count; i++) {
+            notes.add(new LinkedHashMap<>());
+        }
+        images.forEach((machine, latest) -> {
+            int note = Math.floorMod(machine.name.hashCode(), notes.size());
+            size[note] += imageChars(machine, latest);
+            if (size[note] <= mostChars) {
+                notes.get(note).put(machine.name, latest);
             }
-            m.put(x.name, l);
+        });
+        return notes;
+    }
+
+    private static List<String> latestImages(Machine machine) {
+        List<String> images = new ArrayList<>(machine.images);
+        return images.subList(Math.max(0, images.size() - IMAGES_MOST), images.size());
+    }
+
+    /** Characters of a machine's entry with its signs. */
+    private static int imageChars(Machine machine, List<String> images) {
+        int chars = machine.name.length() + 6;
+        for (String image : images) {
+            chars += image.length() + 3;
         }
-        return m;
+        return chars;
     }
 
     // ---- reservations -----------------------------------------------------------------------------------------
--- a/src/test/java/org/mountlug/node/SimulatedCluster.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -958,7 +958,7 @@
 
         /** Tasks on the machine; a hung one that its lease has outrun will kill them before anything else. */
         List<Task> held() {
-            if (gone || now - leaseFrom > leaseS + 0.1) {
+            if (gone || tasks.isEmpty() || now - leaseFrom > leaseS + 0.1) {
                 return List.of();
             }
             return tasks.values().stream()
--- a/src/test/java/org/mountlug/node/ZoneScenario.java
+++ b/src/test/java/org/mountlug/node/ZoneScenario.java
@@ -103,7 +103,12 @@
 
     /** Submits an array of a class. */
     void array(int number, String lane, String urgency, int tasks) {
-        cluster.accept(FaultScenario.id(number), tasks, false, Map.of("lane", lane, "urgency", urgency));
+        array(number, lane, urgency, tasks, 1);
+    }
+
+    /** The same with tasks that take more of a machine. */
+    void array(int number, String lane, String urgency, int tasks, double cpus) {
+        cluster.accept(FaultScenario.id(number), tasks, false, Map.of("lane", lane, "urgency", urgency, "vcpus", cpus));
     }
 
     /** Tasks that machines of the zone hold now, by job. */
--- a/src/test/java/org/mountlug/store/RecordCodecTest.java
+++ b/src/test/java/org/mountlug/store/RecordCodecTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -103,4 +105,33 @@
         }
         assertTrue(most >= Math.min(tasks, 120), "room for " + most);
     }
+
+    /** One value held the images of some 60 to 250 machines, and the next leader knew nothing of the others'. */
+    @ParameterizedTest(name = "{0} machines, {1} characters")
+    @CsvSource({"40, 1740, 1", "4000, 1740, 256", "4000, 6960, 64"})
+    void imagesOfAFleetTakeAsManyNotesAsTheyNeed(int count, int chars, int most) {
+        List<Machine> machines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Machine machine = new Machine(String.format("n-%06d", i), 0);
+            machine.images.add("img-" + i % 12);
+            machine.images.add("img-" + i % 7);
+            machines.add(machine);
+        }
+        List<Map<String, Object>> notes = RecordCodec.images(machines, chars);
+        assertTrue(notes.size() <= most, notes.size() + " notes");
+        int noted = 0;
+        for (Map<String, Object> note : notes) {
+            assertTrue(Json.length(note) <= chars);
+            noted += note.size();
+        }
+        assertEquals(count, noted);
+        machines.get(count / 2).images.add("img-new");
+        List<Map<String, Object>> later = RecordCodec.images(machines, chars);
+        assertEquals(notes.size(), later.size());
+        int changed = 0;
+        for (int i = 0; i < notes.size(); i++) {
+            changed += notes.get(i).equals(later.get(i)) ? 0 : 1;
+        }
+        assertEquals(1, changed, "a change is one write");
+    }
 }
