--- /dev/null
+++ b/src/test/java/org/mountlug/node/ZoneMeasurementTest.java
@@ -0,0 +1,126 @@
+package org.mountlug.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.mountlug.node.FaultScenario.id;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.core.zone.ZoneSettings;
+
+/**
+ * Measures a zone's loss and return at several fleet sizes, with zones tracked and not, and prints a row for the table of
+ * {@code docs/zones.md}. By hand: {@code mvn -B test -Dtest=ZoneMeasurementTest -Dmountlug.measure=zones}.
+ */
+@EnabledIfSystemProperty(named = "mountlug.measure", matches = "zones")
+class ZoneMeasurementTest {
+    private static final double RUN_S = 40;
+    private static final double BOOT_S = 20;
+    private static final int URGENT_JOBS = 4;
+
+    private ZoneScenario scenario;
+    private SimulatedCluster cluster;
+    private final Map<String, Double> seenFirst = new HashMap<>();
+    private final Map<String, Double> seenLast = new HashMap<>();
+
+    private void watchMachines() {
+        for (String name : cluster.workers.keySet()) {
+            seenFirst.putIfAbsent(name, cluster.now);
+            seenLast.put(name, cluster.now);
+        }
+        cluster.in(1, this::watchMachines);
+    }
+
+    @ParameterizedTest(name = "{0} machines, {1} s away, tracked {2}")
+    @CsvSource({
+        "300, 25, false", "300, 25, true", "300, 60, false", "300, 60, true",
+        "1000, 25, false", "1000, 25, true", "1000, 60, false", "1000, 60, true",
+        "4000, 25, false", "4000, 25, true", "4000, 60, false", "4000, 60, true"
+    })
+    void measure(int machines, double awayS, boolean tracked) {
+        scenario = new ZoneScenario(3, machines / 3, tracked ? ZoneSettings.defaults() : ZoneSettings.disabled());
+        cluster = scenario.cluster;
+        cluster.runS = RUN_S;
+        cluster.bootS = BOOT_S;
+        cluster.cloud.capacity = machines * 3 / 2;
+        cluster.cloud.zoneCapacity.clear();
+        for (int job = 1; job <= URGENT_JOBS; job++) {
+            scenario.array(job, "proofs", "high", machines / 40, SimulatedCluster.TYPE_CPUS);
+        }
+        int bulk = 10;
+        for (int job = 1; job <= bulk; job++) {
+            scenario.array(URGENT_JOBS + job, "parts", "standard", machines / 4, SimulatedCluster.TYPE_CPUS);
+        }
+        assertTrue(cluster.until(60, () -> cluster.startLog.size() >= machines / 3 * 3));
+        cluster.run(12);
+        watchMachines();
+        Map<String, List<Integer>> displaced = scenario.held("a");
+        double cutAt = cluster.now;
+        scenario.cut("a");
+        cluster.run(awayS);
+        scenario.rejoin("a");
+        double joinedAt = cluster.now;
+        cluster.run(120);
+
+        double urgentS = 0;
+        long urgent = 0;
+        for (int job = 1; job <= URGENT_JOBS; job++) {
+            for (int index : displaced.getOrDefault(id(job), List.of())) {
+                urgent++;
+                urgentS = Math.max(urgentS, scenario.startedAfter(id(job), index, cutAt) - cutAt);
+            }
+        }
+        long repeated = 0;
+        for (Map.Entry<String, List<Integer>> job : displaced.entrySet()) {
+            for (int index : job.getValue()) {
+                repeated += scenario.startedAfter(job.getKey(), index, cutAt) < Double.POSITIVE_INFINITY ? 1 : 0;
+            }
+        }
+        long most = 0;
+        for (double from = joinedAt; from < joinedAt + 60; from++) {
+            most = Math.max(most, scenario.starts("a", from, from + 1));
+        }
+        double substituteS = 0;
+        int substitutes = 0;
+        for (Map.Entry<String, Double> machine : seenFirst.entrySet()) {
+            if (machine.getValue() > cutAt + 1 && machine.getValue() <= joinedAt + 20) {
+                substitutes++;
+                substituteS += seenLast.get(machine.getKey()) - machine.getValue();
+            }
+        }
+        System.out.printf(
+                "| %d | %.0f | %s | %d of %d | %.0f | %d | %d | %d | %d | %.0f |%n",
+                machines,
+                awayS,
+                tracked ? "on" : "off",
+                urgent,
+                displaced.values().stream().mapToInt(List::size).sum(),
+                urgentS,
+                inversions(cutAt),
+                repeated,
+                most,
+                substitutes,
+                substituteS / 60);
+        assertEquals(List.of(), cluster.broken());
+    }
+
+    /** Starts of bulk work while a displaced urgent task has waited for longer than a start takes. */
+    private long inversions(double cutAt) {
+        double openFrom = cutAt + cluster.leaseS + 1 + ZoneScenario.START_DELAY_S;
+        double last = 0;
+        for (SimulatedCluster.Start start : cluster.startLog) {
+            if (start.at() > openFrom && Integer.parseInt(start.job().substring(3)) <= URGENT_JOBS) {
+                last = start.at();
+            }
+        }
+        double until = last - ZoneScenario.START_DELAY_S;
+        return cluster.startLog.stream()
+                .filter(start -> Integer.parseInt(start.job().substring(3)) > URGENT_JOBS)
+                .filter(start -> start.at() > openFrom && start.at() < until)
+                .count();
+    }
+}
