--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -385,8 +385,8 @@
         public static final double CALM_S = 120;
         /** Share of its machines for which a returning zone gets starts at first. */
         public static final double RAMP_START_SHARE = 0.1;
-        /** Share by which that grows in a second without trouble: the whole in under ten seconds. */
-        public static final double RAMP_GROW_SHARE = 0.2;
+        /** Share by which that grows in a second without trouble: the whole in nine seconds. */
+        public static final double RAMP_GROW_SHARE = 0.1;
         /** Share of its machines that may fetch images at the same time. */
         public static final double DOWNLOADS_SHARE = 0.5;
         /** Seconds between two steps of the ramp: a round. */
