--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -13,6 +13,7 @@
 import org.mountlug.store.Change;
 import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Cbor;
 import org.mountlug.wire.Fields;
 import org.slf4j.Logger;
@@ -61,7 +62,7 @@
     }
 
     private void find(String id, Found then) {
-        state.get(RecordCodec.LIVE + id, Constants.POLL_TIMEOUT_MS, a -> {
+        state.get(StateKeys.LIVE + id, Constants.POLL_TIMEOUT_MS, a -> {
             if (a.status() == 200) {
                 then.found(200, Fields.map(a.body().get("v")), Fields.num(a.body(), "stamp", 0));
                 return;
@@ -71,7 +72,7 @@
                 return;
             }
             state.spendRequest();
-            state.get(RecordCodec.FINAL + id, Constants.POLL_TIMEOUT_MS, b -> {
+            state.get(StateKeys.FINAL + id, Constants.POLL_TIMEOUT_MS, b -> {
                 if (b.status() == 200) {
                     Map<String, Object> v = Fields.map(b.body().get("v"));
                     node.learnFinal(id, Fields.bool(v, "done"), (int) Fields.num(v, "n", 0));
@@ -211,9 +212,9 @@
         }
         Map<String, Object> record = RecordCodec.fresh(spec);
         Change c = new Change()
-                .guard(RecordCodec.LIVE + id, 0)
-                .guard(RecordCodec.FINAL + id, 0)
-                .put(RecordCodec.LIVE + id, record);
+                .guard(StateKeys.LIVE + id, 0)
+                .guard(StateKeys.FINAL + id, 0)
+                .put(StateKeys.LIVE + id, record);
         state.commit(c, a -> {
             if (a.status() == 200) {
                 Map<String, Object> ok = new LinkedHashMap<>();
@@ -262,7 +263,7 @@
                 Map<String, Object> v = new LinkedHashMap<>(record);
                 v.put("x", true);
                 state.spendRequest();
-                state.commit(new Change().guard(RecordCodec.LIVE + id, stamp).put(RecordCodec.LIVE + id, v), a -> {
+                state.commit(new Change().guard(StateKeys.LIVE + id, stamp).put(StateKeys.LIVE + id, v), a -> {
                     if (a.status() == 200) {
                         answerCancelled(x, id);
                     } else if (a.status() == 409) {
--- a/src/main/java/org/mountlug/cli/StandIns.java
+++ b/src/main/java/org/mountlug/cli/StandIns.java
@@ -15,7 +15,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateKeys;
+import org.mountlug.store.VersionCodec;
 import org.mountlug.wire.Cbor;
 import org.mountlug.wire.Fields;
 
@@ -66,7 +67,7 @@
     /** Holds that these controllers read the layout of records that this version writes. */
     synchronized void versionsOf(String... labels) {
         for (String label : labels) {
-            rows.put(RecordCodec.VERSIONS + label, new Row(RecordCodec.announcement(), ++epoch));
+            rows.put(StateKeys.VERSIONS + label, new Row(VersionCodec.announce(), ++epoch));
         }
     }
 
--- a/src/main/java/org/mountlug/core/allocate/ArrayPlacement.java
+++ b/src/main/java/org/mountlug/core/allocate/ArrayPlacement.java
@@ -22,86 +22,119 @@
     }
 
     /** Places what there is room for; {@code overflowing} work may have whole accelerator machines. */
-    void place(Job j, boolean overflowing) {
-        Resources need = j.spec.need();
-        Team team = view.cluster.team(j.spec.team());
-        Resources used = view.usage.getOrDefault(j.spec.team(), Resources.ZERO);
-        int budget = view.cluster.recordRoom(j);
-        if (j.failureHistory.suspected()) {
-            // One task at a time tells whether it still fails; more would only take room from others.
-            budget = Math.min(budget, j.placed.isEmpty() ? 1 : 0);
-        }
-        if (budget <= 0 || view.refusedNeeds.covers(j.spec, overflowing)) {
+    void place(Job job, boolean overflowing) {
+        int most = mostTasks(job);
+        if (most <= 0 || view.refusedNeeds.covers(job.spec, overflowing)) {
             return;
         }
-        List<Node> fit = new ArrayList<>();
-        for (Node n : view.nodes.values()) {
-            if (n.machine.heldFor != null) {
-                continue;
-            }
-            if (overflowing && (n.machine.type.size().gpus() == 0 || n.machine.noOverflowUntilS > view.nowS)) {
-                continue;
-            }
-            if (j.spec.allows(n.machine.type.name(), n.machine.zone, n.machine.spot)
-                    && n.countNow(need, overflowing) > 0) {
-                fit.add(n);
-            }
-        }
-        if (fit.isEmpty()) {
-            view.refusedNeeds.add(j.spec, overflowing);
+        List<Node> fitting = fitting(job, overflowing);
+        if (fitting.isEmpty()) {
+            view.refusedNeeds.add(job.spec, overflowing);
             return;
         }
-        Map<Node, Double> costs = new HashMap<>();
-        for (Node n : fit) {
-            costs.put(n, view.cost(j, n));
+        new Attempt(job, most).over(fitting, overflowing);
+    }
+
+    private int mostTasks(Job job) {
+        int most = view.cluster.recordRoom(job);
+        if (job.failureHistory.suspected()) {
+            // One task at a time tells whether it still fails; more would only take room from others.
+            return Math.min(most, job.placed.isEmpty() ? 1 : 0);
         }
-        fit.sort(Comparator.comparingDouble((Node n) -> costs.get(n)).thenComparing(n -> n.machine.name));
-        Statement s = new Statement(j);
-        Map<String, Integer> perZone = new HashMap<>();
-        String only = null;
-        if (j.spec.oneZone() || j.spec.apart()) {
-            for (Placement p : j.placed.values()) {
-                perZone.merge(p.zone, 1, Integer::sum);
-                only = p.zone;
+        return most;
+    }
+
+    /** Machines with room for a task, the cheapest first. */
+    private List<Node> fitting(Job job, boolean overflowing) {
+        List<Node> fitting = new ArrayList<>();
+        Map<Node, Double> costs = new HashMap<>();
+        for (Node node : view.nodes.values()) {
+            Machine machine = node.machine;
+            boolean barred = overflowing && (machine.type.size().gpus() == 0 || machine.noOverflowUntilS > view.nowS);
+            if (machine.heldFor == null
+                    && !barred
+                    && job.spec.allows(machine.type.name(), machine.zone, machine.spot)
+                    && node.countNow(job.spec.need(), overflowing) > 0) {
+                fitting.add(node);
+                costs.put(node, view.cost(job, node));
             }
         }
-        int task = j.done.nextClearBit(0);
-        for (Node n : fit) {
-            String zone = n.machine.zone;
-            if (j.spec.oneZone() && only != null && !only.equals(zone)) {
-                continue;
+        fitting.sort(
+                Comparator.comparingDouble((Node node) -> costs.get(node)).thenComparing(node -> node.machine.name));
+        return fitting;
+    }
+
+    /** The placing of one array in one round: task by task, machine by machine, within its zones and its team's limit. */
+    private final class Attempt {
+        private final Job job;
+        private final Resources need;
+        private final Team team;
+        private final Statement statement;
+        private final Map<String, Integer> perZone = new HashMap<>();
+        /** The zone of its tasks so far, null while it has none. */
+        private String zoneOfAll;
+
+        private Resources usedByTeam;
+        private int left;
+        private int nextTask;
+
+        Attempt(Job job, int most) {
+            this.job = job;
+            need = job.spec.need();
+            team = view.cluster.team(job.spec.team());
+            statement = new Statement(job);
+            usedByTeam = view.usage.getOrDefault(job.spec.team(), Resources.ZERO);
+            left = most;
+            nextTask = job.done.nextClearBit(0);
+            if (job.spec.oneZone() || job.spec.apart()) {
+                for (Placement placement : job.placed.values()) {
+                    perZone.merge(placement.zone, 1, Integer::sum);
+                    zoneOfAll = placement.zone;
+                }
             }
-            int k = n.countNow(need, overflowing);
-            while (k > 0 && budget > 0) {
-                while (task < j.spec.tasks() && !j.wants(task, view.nowS)) {
-                    task++;
+        }
+
+        void over(List<Node> nodes, boolean overflowing) {
+            for (Node node : nodes) {
+                boolean otherZone = zoneOfAll != null && !zoneOfAll.equals(node.machine.zone);
+                if (job.spec.oneZone() && otherZone) {
+                    continue;
                 }
-                if (task >= j.spec.tasks()) {
+                fill(node, node.countNow(need, overflowing));
+                if (nextTask >= job.spec.tasks() || left <= 0) {
                     break;
                 }
-                if (j.spec.apart() && perZone.getOrDefault(zone, 0) >= j.spec.zoneMost()) {
-                    break;
+            }
+            if (statement.ready(1)) {
+                view.usage.put(job.spec.team(), usedByTeam);
+                view.commit(statement);
+            }
+        }
+
+        private void fill(Node node, int count) {
+            String zone = node.machine.zone;
+            for (int slot = 0; slot < count && left > 0; slot++) {
+                findNextTask();
+                boolean zoneFull = job.spec.apart() && perZone.getOrDefault(zone, 0) >= job.spec.zoneMost();
+                if (nextTask >= job.spec.tasks() || zoneFull) {
+                    return;
                 }
-                if (team != null && !team.allows(used.plus(need))) {
-                    budget = 0;
-                    break;
+                if (team != null && !team.allows(usedByTeam.plus(need))) {
+                    left = 0;
+                    return;
                 }
-                s.allocate(task++, n);
-                used = used.plus(need);
+                statement.allocate(nextTask++, node);
+                usedByTeam = usedByTeam.plus(need);
                 perZone.merge(zone, 1, Integer::sum);
-                if (only == null) {
-                    only = zone;
-                }
-                k--;
-                budget--;
-            }
-            if (task >= j.spec.tasks() || budget <= 0) {
-                break;
+                zoneOfAll = zoneOfAll == null ? zone : zoneOfAll;
+                left--;
             }
         }
-        if (s.ready(1)) {
-            view.usage.put(j.spec.team(), used);
-            view.commit(s);
+
+        private void findNextTask() {
+            while (nextTask < job.spec.tasks() && !job.wants(nextTask, view.nowS)) {
+                nextTask++;
+            }
         }
     }
 
--- a/src/main/java/org/mountlug/core/allocate/GangPlacement.java
+++ b/src/main/java/org/mountlug/core/allocate/GangPlacement.java
@@ -15,6 +15,9 @@
  * nothing is kept.
  */
 final class GangPlacement {
+    /** Seconds of a later start for which a gang's task stays with the machine that it was nominated for. */
+    private static final double NOMINATED_S = 0.5;
+
     private final RoundView view;
 
     GangPlacement(RoundView view) {
@@ -22,153 +25,157 @@
     }
 
     /** Tries one gang, each task on the machine that it was nominated for first. */
-    void place(Job j) {
-        List<Reservation> old = view.cluster.reservations.getOrDefault(j.spec.id(), List.of());
-        if (!old.isEmpty()) {
+    void place(Job job) {
+        List<Reservation> before = view.cluster.reservations.getOrDefault(job.spec.id(), List.of());
+        if (!before.isEmpty()) {
             view.refusedNeeds.clear();
         }
-        Map<Integer, String> nominated = new HashMap<>();
-        for (Reservation r : old) {
-            nominated.put(r.task(), r.machine());
+        Statement statement = mayStart(job) ? statement(job, nominated(before)) : null;
+        if (statement == null) {
+            view.release(job);
+            return;
+        }
+        view.cluster.reservations.remove(job.spec.id());
+        if (statement.ready(job.spec.tasks())) {
+            view.commit(statement);
+            view.usage.merge(job.spec.team(), job.spec.whole(), Resources::plus);
+        } else {
+            view.cluster.reservations.put(job.spec.id(), statement.reserve());
         }
-        for (int t = 0; t < j.spec.tasks(); t++) {
-            if (!j.wants(t, view.nowS)) {
-                view.release(j);
-                return; // one task still waits out its failure
+    }
+
+    /** Whether all of the gang may be placed as far as itself, its record and its team's limit are concerned. */
+    private boolean mayStart(Job job) {
+        for (int task = 0; task < job.spec.tasks(); task++) {
+            if (!job.wants(task, view.nowS)) {
+                return false; // one task still waits out its failure
             }
         }
-        if (j.spec.tasks() > view.cluster.recordRoom(j)) {
-            view.release(j);
-            return; // what no record can hold must not start, and must not keep other records from being written
+        if (job.spec.tasks() > view.cluster.recordRoom(job)) {
+            return false; // what no record can hold must not start, and must not keep other records from being written
         }
-        Resources need = j.spec.need();
-        Resources all = new Resources(
-                need.cpus() * j.spec.tasks(), need.gpus() * j.spec.tasks(), need.ramGb() * j.spec.tasks());
-        Team team = view.cluster.team(j.spec.team());
-        Resources used = view.usage.getOrDefault(j.spec.team(), Resources.ZERO);
-        if (team != null && !team.allows(used.plus(all))) {
-            view.release(j);
-            return;
+        Team team = view.cluster.team(job.spec.team());
+        Resources used = view.usage.getOrDefault(job.spec.team(), Resources.ZERO);
+        return team == null || team.allows(used.plus(job.spec.whole()));
+    }
+
+    private static Map<Integer, String> nominated(List<Reservation> reservations) {
+        Map<Integer, String> machines = new HashMap<>();
+        for (Reservation reservation : reservations) {
+            machines.put(reservation.task(), reservation.machine());
         }
-        Statement best = null;
-        // One zone for all: every zone is tried on its own, the nominated one first.
-        for (String zone : zones(j, nominated.values())) {
-            Statement s = new Statement(j);
+        return machines;
+    }
+
+    /** The first statement that keeps the gang whole, or null; one zone for all means that every zone is tried on its own. */
+    private Statement statement(Job job, Map<Integer, String> nominated) {
+        for (String zone : zones(job, nominated.values())) {
+            Statement statement = new Statement(job);
             List<Reservation> dropped = new ArrayList<>();
-            Map<String, Integer> perZone = new HashMap<>();
-            for (int t = 0; t < j.spec.tasks(); t++) {
-                String nom = nominated.get(t);
-                Node on = nom == null ? null : view.nodes.get(nom);
-                if (on != null && allowed(j, on, zone, perZone) && need.fitsIn(on.future())) {
-                    // The note's check counts the task's own reservation; it moves from reserved to tried.
-                    dropped.add(new Reservation(t, nom));
-                    on.pipelined = on.pipelined.minus(need);
-                } else {
-                    if (nom != null) {
-                        dropped.add(new Reservation(t, nom));
-                        if (on != null) {
-                            on.pipelined = on.pipelined.minus(need);
-                        }
-                    }
-                    on = scan(j, zone, perZone, nom);
-                }
-                if (on == null) {
-                    break;
-                }
-                perZone.merge(on.machine.zone, 1, Integer::sum);
-                if (on.fitsNow(need)) {
-                    s.allocate(t, on);
-                } else {
-                    s.pipeline(t, on);
-                }
+            fill(statement, zone, nominated, dropped);
+            boolean pipelined = !job.failureHistory.suspected() && statement.pipelined(job.spec.tasks());
+            if (statement.ready(job.spec.tasks()) || pipelined) {
+                return statement;
             }
-            boolean ready = s.ready(j.spec.tasks());
-            if (ready || best == null && !j.failureHistory.suspected() && s.pipelined(j.spec.tasks())) {
-                if (best != null) {
-                    best.discard();
-                }
-                best = s;
-                for (Reservation r : dropped) {
-                    nominated.remove(r.task());
-                }
-                if (ready) {
-                    break;
-                }
-            } else {
-                s.discard();
-                // Reservations dropped for a try that failed are put back for the next zone's try.
-                for (Reservation r : dropped) {
-                    Node n = view.nodes.get(r.machine());
-                    if (n != null) {
-                        n.pipelined = n.pipelined.plus(need);
-                    }
-                }
+            statement.discard();
+            restore(job, dropped);
+        }
+        return null;
+    }
+
+    /** Tries each task in turn, until one finds no room; notes the reservations that were dropped for that. */
+    private void fill(Statement statement, String zone, Map<Integer, String> nominated, List<Reservation> dropped) {
+        Job job = statement.job;
+        Map<String, Integer> perZone = new HashMap<>();
+        for (int task = 0; task < job.spec.tasks(); task++) {
+            Node node = node(job, zone, perZone, nominated.get(task), task, dropped);
+            if (node == null) {
+                return;
             }
-            if (best != null) {
-                break;
+            perZone.merge(node.machine.zone, 1, Integer::sum);
+            if (node.fitsNow(job.spec.need())) {
+                statement.allocate(task, node);
+            } else {
+                statement.pipeline(task, node);
             }
         }
-        if (best == null) {
-            view.release(j);
-            return;
+    }
+
+    /** The machine for one task: the nominated one if it still covers the task, else by a full scan; null if none does. */
+    private Node node(
+            Job job, String zone, Map<String, Integer> perZone, String nominated, int task, List<Reservation> dropped) {
+        if (nominated == null) {
+            return scan(job, zone, perZone, null);
         }
-        view.cluster.reservations.remove(j.spec.id());
-        if (best.ready(j.spec.tasks())) {
-            view.commit(best);
-            view.usage.merge(j.spec.team(), all, Resources::plus);
-        } else {
-            view.cluster.reservations.put(j.spec.id(), best.reserve());
+        Resources need = job.spec.need();
+        Node before = view.nodes.get(nominated);
+        // The note's check counts the task's own reservation, which moves from reserved to tried, or is dropped.
+        boolean covered = before != null && allowed(job, before, zone, perZone) && need.fitsIn(before.future());
+        dropped.add(new Reservation(task, nominated));
+        if (before != null) {
+            before.pipelined = before.pipelined.minus(need);
+        }
+        return covered ? before : scan(job, zone, perZone, nominated);
+    }
+
+    /** Reservations dropped for a try that failed are put back for the next zone's try. */
+    private void restore(Job job, List<Reservation> dropped) {
+        for (Reservation reservation : dropped) {
+            Node node = view.nodes.get(reservation.machine());
+            if (node != null) {
+                node.pipelined = node.pipelined.plus(job.spec.need());
+            }
         }
     }
 
-    private List<String> zones(Job j, Iterable<String> nominated) {
-        List<String> l = new ArrayList<>();
-        if (!j.spec.oneZone()) {
-            l.add(null);
-            return l;
+    private List<String> zones(Job job, Iterable<String> nominated) {
+        List<String> zones = new ArrayList<>();
+        if (!job.spec.oneZone()) {
+            zones.add(null);
+            return zones;
         }
-        for (String m : nominated) {
-            Node n = view.nodes.get(m);
-            if (n != null && !l.contains(n.machine.zone)) {
-                l.add(n.machine.zone);
+        for (String machine : nominated) {
+            Node node = view.nodes.get(machine);
+            if (node != null && !zones.contains(node.machine.zone)) {
+                zones.add(node.machine.zone);
             }
         }
-        for (Node n : view.nodes.values()) {
-            if (!l.contains(n.machine.zone)) {
-                l.add(n.machine.zone);
+        for (Node node : view.nodes.values()) {
+            if (!zones.contains(node.machine.zone)) {
+                zones.add(node.machine.zone);
             }
         }
-        return l;
+        return zones;
     }
 
-    private boolean allowed(Job j, Node n, String zone, Map<String, Integer> perZone) {
-        Machine m = n.machine;
-        return (m.heldFor == null || m.heldFor.equals(j.spec.id()))
-                && j.spec.allows(m.type.name(), m.zone, m.spot)
-                && (zone == null || zone.equals(m.zone))
-                && (!j.spec.apart() || perZone.getOrDefault(m.zone, 0) < j.spec.zoneMost());
+    private boolean allowed(Job job, Node node, String zone, Map<String, Integer> perZone) {
+        Machine machine = node.machine;
+        return (machine.heldFor == null || machine.heldFor.equals(job.spec.id()))
+                && job.spec.allows(machine.type.name(), machine.zone, machine.spot)
+                && (zone == null || zone.equals(machine.zone))
+                && (!job.spec.apart() || perZone.getOrDefault(machine.zone, 0) < job.spec.zoneMost());
     }
 
     /** A full scan: idle room first, else future room; the machine nominated before wins a tie. */
-    private Node scan(Job j, String zone, Map<String, Integer> perZone, String before) {
+    private Node scan(Job job, String zone, Map<String, Integer> perZone, String before) {
         Node now = null;
         Node later = null;
         double nowCost = Double.MAX_VALUE;
         double laterCost = Double.MAX_VALUE;
-        Resources need = j.spec.need();
-        for (Node n : view.nodes.values()) {
-            if (!allowed(j, n, zone, perZone)) {
+        Resources need = job.spec.need();
+        for (Node node : view.nodes.values()) {
+            if (!allowed(job, node, zone, perZone)) {
                 continue;
             }
-            double c = view.cost(j, n) - (n.machine.name.equals(before) ? 0.5 : 0);
-            if (n.fitsNow(need)) {
-                if (c < nowCost) {
-                    nowCost = c;
-                    now = n;
+            double cost = view.cost(job, node) - (node.machine.name.equals(before) ? NOMINATED_S : 0);
+            if (node.fitsNow(need)) {
+                if (cost < nowCost) {
+                    nowCost = cost;
+                    now = node;
                 }
-            } else if (need.fitsIn(n.future()) && c < laterCost) {
-                laterCost = c;
-                later = n;
+            } else if (need.fitsIn(node.future()) && cost < laterCost) {
+                laterCost = cost;
+                later = node;
             }
         }
         return now != null ? now : later;
--- a/src/main/java/org/mountlug/node/AnnouncedVersions.java
+++ b/src/main/java/org/mountlug/node/AnnouncedVersions.java
@@ -5,7 +5,8 @@
 import java.util.function.Predicate;
 import org.mountlug.Constants;
 import org.mountlug.settings.Settings;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateKeys;
+import org.mountlug.store.VersionCodec;
 import org.mountlug.wire.Fields;
 
 /**
@@ -30,7 +31,7 @@
         }
         reading = true;
         nextReadS = nowS + Constants.VERSIONS_MS / 1000.0;
-        term.environment.state().list(RecordCodec.VERSIONS, null, answer -> {
+        term.environment.state().list(StateKeys.VERSIONS, null, answer -> {
             reading = false;
             if (!term.ended() && answer.status() == 200) {
                 read(answer.body());
@@ -42,11 +43,11 @@
         Map<String, Map<String, Object>> announced = new HashMap<>();
         for (Object element : Fields.list(body, "rows")) {
             Map<String, Object> row = Fields.map(element);
-            String label = Fields.str(row, "k").substring(RecordCodec.VERSIONS.length());
+            String label = Fields.str(row, "k").substring(StateKeys.VERSIONS.length());
             announced.put(label, Fields.map(row.get("v")));
         }
-        parts |= all(announced, RecordCodec::readsParts);
-        zones |= all(announced, RecordCodec::readsZones);
+        parts |= all(announced, VersionCodec::readsParts);
+        zones |= all(announced, VersionCodec::readsZones);
     }
 
     private boolean all(Map<String, Map<String, Object>> announced, Predicate<Map<String, Object>> understands) {
--- a/src/main/java/org/mountlug/node/CloudFleet.java
+++ b/src/main/java/org/mountlug/node/CloudFleet.java
@@ -12,7 +12,7 @@
 import org.mountlug.core.scale.Rental;
 import org.mountlug.core.scale.Scaler;
 import org.mountlug.store.Budget;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Calls;
 import org.mountlug.wire.Json;
 import org.slf4j.Logger;
@@ -109,9 +109,7 @@
         }
         term.environment
                 .state()
-                .commit(
-                        term.change().put(RecordCodec.CATALOGUE, kept),
-                        answer -> catalogueKept = answer.status() == 200);
+                .commit(term.change().put(StateKeys.CATALOGUE, kept), answer -> catalogueKept = answer.status() == 200);
     }
 
     private void list(double nowS, String after, List<Listed> sofar) {
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -19,8 +19,8 @@
 import org.mountlug.peer.Peers;
 import org.mountlug.settings.Settings;
 import org.mountlug.store.Change;
-import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Calls;
 import org.mountlug.wire.Fields;
 import org.slf4j.Logger;
@@ -252,7 +252,7 @@
         double now = clockS.getAsDouble();
         switch (election.next(now)) {
             case LOOK ->
-                state.get(RecordCodec.LEADER, Constants.STATE_TIMEOUT_MS, a -> {
+                state.get(StateKeys.LEADER, Constants.STATE_TIMEOUT_MS, a -> {
                     if (a.status() == 200) {
                         Map<String, Object> v = Fields.map(a.body().get("v"));
                         long stamp = Fields.num(a.body(), "stamp", 0);
@@ -289,17 +289,16 @@
                 v.put("node", settings.label());
                 v.put("nonce", election.nonce());
                 v.put("hold", election.lease());
-                state.commit(
-                        new Change().guard(RecordCodec.LEADER, 0).put(RecordCodec.LEADER, v, election.lease()), a -> {
-                            if (a.status() == 200) {
-                                election.campaigned(clockS.getAsDouble(), true, Fields.num(a.body(), "epoch", 0));
-                                lead();
-                            } else if (a.status() == 409) {
-                                election.campaigned(clockS.getAsDouble(), false, 0);
-                            } else {
-                                election.failed(clockS.getAsDouble());
-                            }
-                        });
+                state.commit(new Change().guard(StateKeys.LEADER, 0).put(StateKeys.LEADER, v, election.lease()), a -> {
+                    if (a.status() == 200) {
+                        election.campaigned(clockS.getAsDouble(), true, Fields.num(a.body(), "epoch", 0));
+                        lead();
+                    } else if (a.status() == 409) {
+                        election.campaigned(clockS.getAsDouble(), false, 0);
+                    } else {
+                        election.failed(clockS.getAsDouble());
+                    }
+                });
             }
             case RENEW ->
                 state.renewLease(election.lease(), a -> {
@@ -340,7 +339,7 @@
             return;
         }
         watchingLeader = true;
-        state.watch(RecordCodec.LEADER, leaderWatchFrom, Constants.WATCH_BLOCK_MS, a -> {
+        state.watch(StateKeys.LEADER, leaderWatchFrom, Constants.WATCH_BLOCK_MS, a -> {
             after(() -> watchingLeader = false, a.status() == 200 ? 50 : 500);
             if (a.status() == 410) {
                 leaderWatchFrom = -1;
@@ -413,7 +412,7 @@
             return;
         }
         fetchingTypes = true;
-        state.get(RecordCodec.CATALOGUE, Constants.STATE_TIMEOUT_MS, a -> {
+        state.get(StateKeys.CATALOGUE, Constants.STATE_TIMEOUT_MS, a -> {
             if (a.status() == 200) {
                 learnTypes(CloudCodec.catalogue(Fields.map(a.body().get("v"))));
                 return;
--- a/src/main/java/org/mountlug/node/ImageNotes.java
+++ b/src/main/java/org/mountlug/node/ImageNotes.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 import org.mountlug.Constants;
 import org.mountlug.store.Budget;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.ImageCodec;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 
 /**
@@ -30,7 +31,7 @@
 
     /** Reads the notes beyond the first one, beside the records: rounds do not wait for them. */
     private void loadMore(String after) {
-        term.environment.state().list(RecordCodec.MORE_IMAGES, after, answer -> {
+        term.environment.state().list(StateKeys.MORE_IMAGES, after, answer -> {
             if (term.ended() || answer.status() != 200) {
                 return;
             }
@@ -63,11 +64,11 @@
             return;
         }
         nextS = nowS + Constants.IMAGES_MS / 1000.0;
-        List<Map<String, Object>> notes = RecordCodec.images(term.cluster.machines.values(), term.valueChars());
+        List<Map<String, Object>> notes = ImageCodec.notes(term.cluster.machines.values(), term.valueChars());
         int written = 0;
         for (int i = 0; i < notes.size() && written < Constants.IMAGE_NOTES_A_TURN; i++) {
             int note = (nextNote + i) % notes.size();
-            String key = RecordCodec.imagesKey(note);
+            String key = StateKeys.images(note);
             boolean same = notes.get(note).equals(stored.getOrDefault(key, Map.of()));
             if (same || !term.proven(nowS) || !writes.take(nowS, 1)) {
                 continue;
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -27,7 +27,7 @@
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
 import org.mountlug.store.Budget;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -201,7 +201,7 @@
 
         @Override
         public void images(Map<String, Object> byMachine) {
-            images.loaded(RecordCodec.IMAGES, byMachine);
+            images.loaded(StateKeys.IMAGES, byMachine);
         }
 
         @Override
--- a/src/main/java/org/mountlug/node/LeaderTerm.java
+++ b/src/main/java/org/mountlug/node/LeaderTerm.java
@@ -4,7 +4,7 @@
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.lead.Election;
 import org.mountlug.store.Change;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateKeys;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -64,7 +64,7 @@
 
     /** A transaction that succeeds only while this term's key is there. */
     Change change() {
-        return new Change().guard(RecordCodec.LEADER, cluster.token());
+        return new Change().guard(StateKeys.LEADER, cluster.token());
     }
 
     /** Characters that a value may have, under the least of the limits in force and to come. */
--- a/src/main/java/org/mountlug/node/LiveRecords.java
+++ b/src/main/java/org/mountlug/node/LiveRecords.java
@@ -12,7 +12,9 @@
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.store.RecordCodec;
+import org.mountlug.store.ReservationCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -134,7 +136,7 @@
 
     private void load(String after, boolean first) {
         double asked = clockS.getAsDouble();
-        state.list(RecordCodec.LIVE, after, a -> {
+        state.list(StateKeys.LIVE, after, a -> {
             if (term.ended()) {
                 return;
             }
@@ -166,14 +168,14 @@
             }
             Map<String, Object> r = Fields.map(o);
             last = Fields.str(r, "k");
-            record(last.substring(RecordCodec.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0), now);
+            record(last.substring(StateKeys.LIVE.length()), Fields.map(r.get("v")), Fields.num(r, "stamp", 0), now);
         }
         return last;
     }
 
     /** The parts of the jobs just read. Only a leader writes them, and since we lead no older one's write succeeds. */
     private void loadParts(String after) {
-        state.list(RecordCodec.PARTS, after, a -> {
+        state.list(StateKeys.PARTS, after, a -> {
             if (term.ended()) {
                 return;
             }
@@ -203,7 +205,7 @@
 
     private void part(String key, Map<String, Object> v, double now) {
         int slash = key.lastIndexOf('/');
-        String id = key.substring(RecordCodec.PARTS.length(), slash);
+        String id = key.substring(StateKeys.PARTS.length(), slash);
         Job j = loading.get(id);
         if (j == null) {
             if (!unreadable.contains(id)) {
@@ -235,7 +237,7 @@
     }
 
     private void loadReservations() {
-        state.list(RecordCodec.RESERVED, null, a -> {
+        state.list(StateKeys.RESERVED, null, a -> {
             if (term.ended()) {
                 return;
             }
@@ -255,10 +257,10 @@
         Map<String, Long> stamps = new HashMap<>();
         for (Object o : Fields.list(body, "rows")) {
             Map<String, Object> r = Fields.map(o);
-            String id = Fields.str(r, "k").substring(RecordCodec.RESERVED.length());
+            String id = Fields.str(r, "k").substring(StateKeys.RESERVED.length());
             List<Reservation> l;
             try {
-                l = RecordCodec.reservations(Fields.map(r.get("v")));
+                l = ReservationCodec.read(Fields.map(r.get("v")));
             } catch (RuntimeException e) {
                 LOG.error("reservation of {} cannot be read: {}", id, e.toString());
                 l = List.of(); // forgotten with the next change of reservations
@@ -271,7 +273,7 @@
 
     /** What the last leader knew of machines' images; without it every change of leader costs fetches. */
     private void loadImages() {
-        state.get(RecordCodec.IMAGES, Constants.STATE_TIMEOUT_MS, a -> {
+        state.get(StateKeys.IMAGES, Constants.STATE_TIMEOUT_MS, a -> {
             if (term.ended()) {
                 return;
             }
@@ -298,7 +300,7 @@
 
     private void watch() {
         double asked = clockS.getAsDouble();
-        state.watch(RecordCodec.LIVE, watchFrom, 2000, a -> {
+        state.watch(StateKeys.LIVE, watchFrom, 2000, a -> {
             if (term.ended()) {
                 return;
             }
@@ -312,7 +314,7 @@
                     String put = Fields.str(e, "put");
                     if (put != null) {
                         record(
-                                put.substring(RecordCodec.LIVE.length()),
+                                put.substring(StateKeys.LIVE.length()),
                                 Fields.map(e.get("v")),
                                 Fields.num(e, "stamp", 0),
                                 now);
@@ -332,7 +334,7 @@
     }
 
     private void reload(String after, boolean first) {
-        state.list(RecordCodec.LIVE, after, a -> {
+        state.list(StateKeys.LIVE, after, a -> {
             if (term.ended()) {
                 return;
             }
--- a/src/main/java/org/mountlug/node/RecordWriter.java
+++ b/src/main/java/org/mountlug/node/RecordWriter.java
@@ -13,6 +13,7 @@
 import org.mountlug.store.Change;
 import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.Http;
 import org.mountlug.wire.Json;
@@ -216,10 +217,10 @@
     private void add(Draft draft, Job job, double nowS) {
         String id = job.spec.id();
         String writeId = term.cluster.token() + "." + ++writeCounter;
-        draft.change.guard(RecordCodec.LIVE + id, job.stamp);
+        draft.change.guard(StateKeys.LIVE + id, job.stamp);
         if (job.over()) {
-            draft.change.delete(RecordCodec.LIVE + id);
-            draft.change.put(RecordCodec.FINAL + id, RecordCodec.over(job.endsAsDone(), job.spec.tasks()));
+            draft.change.delete(StateKeys.LIVE + id);
+            draft.change.put(StateKeys.FINAL + id, RecordCodec.over(job.endsAsDone(), job.spec.tasks()));
             draft.used += 2;
             draft.items.add(new Item(job, true, job.endsAsDone(), true, new int[0], job.version, writeId));
             return;
@@ -234,7 +235,7 @@
         boolean own = !job.switching() || all.length < left;
         int[] some = Arrays.copyOf(all, Math.min(all.length, left - (own ? 1 : 0)));
         if (own) {
-            draft.put(RecordCodec.LIVE + id, RecordCodec.job(job, writeId));
+            draft.put(StateKeys.LIVE + id, RecordCodec.job(job, writeId));
         }
         for (int part : some) {
             draft.put(RecordCodec.partKey(id, part), RecordCodec.part(job, part));
@@ -377,7 +378,7 @@
     }
 
     private void conditionFailed(List<Object> failed, double nowS) {
-        if (failed.contains(RecordCodec.LEADER)) {
+        if (failed.contains(StateKeys.LEADER)) {
             term.depose("the leader key has changed");
             return;
         }
@@ -399,7 +400,7 @@
             return;
         }
         String id = left.peek().job.spec.id();
-        state.get(RecordCodec.LIVE + id, Constants.STATE_TIMEOUT_MS, answer -> {
+        state.get(StateKeys.LIVE + id, Constants.STATE_TIMEOUT_MS, answer -> {
             if (term.ended()) {
                 return;
             }
@@ -423,7 +424,7 @@
     private void readFinal(ArrayDeque<Item> left) {
         Job job = left.peek().job;
         String id = job.spec.id();
-        state.get(RecordCodec.FINAL + id, Constants.STATE_TIMEOUT_MS, answer -> {
+        state.get(StateKeys.FINAL + id, Constants.STATE_TIMEOUT_MS, answer -> {
             if (term.ended()) {
                 return;
             }
--- a/src/main/java/org/mountlug/node/ReservationWatch.java
+++ b/src/main/java/org/mountlug/node/ReservationWatch.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.mountlug.Constants;
-import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 
 /**
@@ -33,7 +33,7 @@
         watching = true;
         nextS = now + Constants.RESERVATIONS_PAUSE_MS / 1000.0;
         if (from < 0) {
-            state.list(RecordCodec.RESERVED, null, a -> {
+            state.list(StateKeys.RESERVED, null, a -> {
                 watching = false;
                 if (a.status() != 200) {
                     return;
@@ -47,7 +47,7 @@
             });
             return;
         }
-        state.watch(RecordCodec.RESERVED, from, Constants.WATCH_BLOCK_MS, a -> {
+        state.watch(StateKeys.RESERVED, from, Constants.WATCH_BLOCK_MS, a -> {
             watching = false;
             if (a.status() == 410) {
                 from = -1;
--- a/src/main/java/org/mountlug/node/ReservationWriter.java
+++ b/src/main/java/org/mountlug/node/ReservationWriter.java
@@ -8,7 +8,8 @@
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.Reservation;
 import org.mountlug.store.Change;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.ReservationCodec;
+import org.mountlug.store.StateKeys;
 
 /** Keeps the stored reservations equal to the leader's: which of them go into a transaction, and what became of that. */
 final class ReservationWriter {
@@ -53,7 +54,7 @@
                 continue;
             }
             guard(change, id);
-            change.delete(RecordCodec.RESERVED + id);
+            change.delete(StateKeys.RESERVED + id);
             next.remove(id);
             used++;
         }
@@ -70,8 +71,8 @@
                 continue;
             }
             guard(change, id);
-            change.guard(RecordCodec.LIVE + id, job.stamp);
-            change.put(RecordCodec.RESERVED + id, RecordCodec.reservations(entry.getValue(), term.valueChars()));
+            change.guard(StateKeys.LIVE + id, job.stamp);
+            change.put(StateKeys.RESERVED + id, ReservationCodec.write(entry.getValue(), term.valueChars()));
             next.put(id, entry.getValue());
             used++;
         }
@@ -83,7 +84,7 @@
      * comes and goes, a put is guarded by the job's record too, which moves on when the job is placed.
      */
     private void guard(Change change, String id) {
-        change.guard(RecordCodec.RESERVED + id, stamps.getOrDefault(id, 0L));
+        change.guard(StateKeys.RESERVED + id, stamps.getOrDefault(id, 0L));
     }
 
     /** Nothing is added to the next transaction. */
@@ -112,7 +113,7 @@
 
     /** After a failed condition: what is stored is read anew, as the failed change may have been carried out before. */
     void reread(Runnable then) {
-        term.environment.state().list(RecordCodec.RESERVED, null, answer -> {
+        term.environment.state().list(StateKeys.RESERVED, null, answer -> {
             if (term.ended()) {
                 return;
             }
--- a/src/main/java/org/mountlug/node/StoredReportCounts.java
+++ b/src/main/java/org/mountlug/node/StoredReportCounts.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 import org.mountlug.Constants;
 import org.mountlug.store.Change;
-import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 
 /**
@@ -43,8 +43,7 @@
         Map<String, Object> value = new LinkedHashMap<>();
         value.put("n", (long) reports);
         value.put("t", leaderToken);
-        Change change =
-                new Change().guard(RecordCodec.LEADER, leaderToken).put(RecordCodec.REPORT_COUNTS + label, value);
+        Change change = new Change().guard(StateKeys.LEADER, leaderToken).put(StateKeys.REPORT_COUNTS + label, value);
         state.commit(change, answer -> busy = false);
     }
 
@@ -55,7 +54,7 @@
         }
         busy = true;
         nextS = nowS + Constants.STORED_COUNTS_S + Constants.STORED_COUNTS_MARGIN_S;
-        state.list(RecordCodec.REPORT_COUNTS, null, answer -> {
+        state.list(StateKeys.REPORT_COUNTS, null, answer -> {
             busy = false;
             if (answer.status() != 200) {
                 return;
--- a/src/main/java/org/mountlug/node/VersionAnnouncement.java
+++ b/src/main/java/org/mountlug/node/VersionAnnouncement.java
@@ -3,8 +3,9 @@
 import java.util.Map;
 import org.mountlug.Constants;
 import org.mountlug.store.Change;
-import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateClient;
+import org.mountlug.store.StateKeys;
+import org.mountlug.store.VersionCodec;
 import org.mountlug.wire.Fields;
 
 /**
@@ -31,10 +32,10 @@
         }
         announcing = true;
         nextS = now + Constants.ANNOUNCE_MS / 1000.0;
-        String key = RecordCodec.VERSIONS + label;
+        String key = StateKeys.VERSIONS + label;
         state.get(key, Constants.STATE_TIMEOUT_MS, a -> {
             Map<String, Object> written = Fields.map(a.body().get("v"));
-            if (a.status() == 200 && RecordCodec.readsParts(written) && RecordCodec.readsZones(written)) {
+            if (a.status() == 200 && VersionCodec.readsParts(written) && VersionCodec.readsZones(written)) {
                 announced = true;
             }
             if (announced || a.status() != 200 && a.status() != 404) {
@@ -42,8 +43,7 @@
                 return;
             }
             state.commit(
-                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, RecordCodec.announcement()),
-                    b -> {
+                    new Change().guard(key, Fields.num(a.body(), "stamp", 0)).put(key, VersionCodec.announce()), b -> {
                         announcing = false;
                         announced = b.status() == 200;
                     });
--- a/src/main/java/org/mountlug/node/ZoneStore.java
+++ b/src/main/java/org/mountlug/node/ZoneStore.java
@@ -6,6 +6,7 @@
 import org.mountlug.core.zone.ZoneSnapshot;
 import org.mountlug.core.zone.ZoneWatch;
 import org.mountlug.store.Budget;
+import org.mountlug.store.StateKeys;
 import org.mountlug.store.ZoneCodec;
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.Http;
@@ -62,7 +63,7 @@
     }
 
     private void load() {
-        term.environment.state().get(ZoneCodec.ZONES, Constants.STATE_TIMEOUT_MS, answer -> {
+        term.environment.state().get(StateKeys.ZONES, Constants.STATE_TIMEOUT_MS, answer -> {
             if (term.ended()) {
                 return;
             }
@@ -101,7 +102,7 @@
         writing = true;
         Map<String, Object> record =
                 ZoneCodec.write(snapshots, term.environment.epochMs().getAsLong(), term.valueChars());
-        term.environment.state().commit(term.change().put(ZoneCodec.ZONES, record), answer -> {
+        term.environment.state().commit(term.change().put(StateKeys.ZONES, record), answer -> {
             writing = false;
             if (answer.status() == 200) {
                 stored = changed;
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -4,15 +4,12 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.mountlug.core.cluster.Machine;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Placement;
-import org.mountlug.core.model.Reservation;
 import org.mountlug.core.model.Resources;
 import org.mountlug.core.model.Shape;
 import org.mountlug.core.model.Urgency;
@@ -30,25 +27,6 @@
  * they do not know of a record they lose when they write it back. {@code docs/design.md} lists what is compatible.
  */
 public final class RecordCodec {
-    public static final String LIVE = "j/";
-    public static final String FINAL = "f/";
-    public static final String RESERVED = "r/";
-    public static final String LEADER = "leader";
-    public static final String CATALOGUE = "catalogue";
-    public static final String IMAGES = "images";
-    /** Further notes of images, by number, which production does not read. */
-    public static final String MORE_IMAGES = "i/";
-    /** Parts of live jobs, by job and number. */
-    public static final String PARTS = "p/";
-    /** What each controller can read, by its label. */
-    public static final String VERSIONS = "v/";
-    /** How many workers' reports come to a follower that cannot tell the leader itself. */
-    public static final String REPORT_COUNTS = "h/";
-    /** The layout of records that this version reads: 2 has parts. */
-    public static final int LAYOUT = 2;
-
-    private static final String READS_LAYOUT = "layout";
-    private static final String READS_ZONES = "zones";
     /** Characters of a record beside its description and tasks: keys, write, zones, counts, failures. */
     private static final int FIXED_CHARS = 300;
     /** The same of a part. */
@@ -61,28 +39,9 @@
     private static final int TASK_CHARS = 17;
     /** What a version before parts keeps of a service: no run time is below nothing, and it writes it back as it is. */
     private static final double SERVICE_EXPECTED = -1;
-    /** Images told of one machine, the latest. */
-    private static final int IMAGES_MOST = 8;
 
     private RecordCodec() {}
 
-    // ---- versions ---------------------------------------------------------------------------------------------
-
-    /** What a controller of this version writes of itself. */
-    public static Map<String, Object> announcement() {
-        return Fields.ordered(READS_LAYOUT, (long) LAYOUT, READS_ZONES, true);
-    }
-
-    /** Whether a controller that announced this reads records in parts. */
-    public static boolean readsParts(Map<String, Object> announcement) {
-        return Fields.num(announcement, READS_LAYOUT, 1) >= LAYOUT;
-    }
-
-    /** Whether a controller that announced this reads the record of the zones' state. */
-    public static boolean readsZones(Map<String, Object> announcement) {
-        return Fields.bool(announcement, READS_ZONES);
-    }
-
     // ---- specification ----------------------------------------------------------------------------------------
 
     /** The specification as it stands in a record. */
@@ -221,7 +180,7 @@
 
     /** The key of a further part of a job. */
     public static String partKey(String job, int part) {
-        return PARTS + job + "/" + part;
+        return StateKeys.PARTS + job + "/" + part;
     }
 
     private static void progress(Job j, int from, int to, int failuresChars, Map<String, Object> m) {
@@ -442,87 +401,4 @@
         m.put("n", tasks);
         return m;
     }
-
-    // ---- images -----------------------------------------------------------------------------------------------
-
-    /** The key of a note of images: the first one is the only one that production knows. */
-    public static String imagesKey(int note) {
-        return note == 0 ? IMAGES : MORE_IMAGES + note;
-    }
-
-    /**
-     * Which machines should have which images, a help for placing: in as many notes as the fleet needs, each machine always
-     * in the same one, so that a change is one write.
-     */
-    public static List<Map<String, Object>> images(Collection<Machine> machines, int mostChars) {
-        Map<Machine, List<String>> images = new LinkedHashMap<>();
-        long chars = 0;
-        for (Machine machine : machines) {
-            if (!machine.images.isEmpty()) {
-                List<String> latest = latestImages(machine);
-                images.put(machine, latest);
-                chars += imageChars(machine, latest);
-            }
-        }
-        int count = 1;
-        // Half full in the mean, as names fall into notes by chance.
-        while (chars > mostChars && (long) count * mostChars < 2 * chars) {
-            count *= 2;
-        }
-        List<Map<String, Object>> notes = new ArrayList<>();
-        int[] size = new int[count];
-        for (int i = 0; i < count; i++) {
-            notes.add(new LinkedHashMap<>());
-        }
-        images.forEach((machine, latest) -> {
-            int note = Math.floorMod(machine.name.hashCode(), notes.size());
-            size[note] += imageChars(machine, latest);
-            if (size[note] <= mostChars) {
-                notes.get(note).put(machine.name, latest);
-            }
-        });
-        return notes;
-    }
-
-    private static List<String> latestImages(Machine machine) {
-        List<String> images = new ArrayList<>(machine.images);
-        return images.subList(Math.max(0, images.size() - IMAGES_MOST), images.size());
-    }
-
-    /** Characters of a machine's entry with its signs. */
-    private static int imageChars(Machine machine, List<String> images) {
-        int chars = machine.name.length() + 6;
-        for (String image : images) {
-            chars += image.length() + 3;
-        }
-        return chars;
-    }
-
-    // ---- reservations -----------------------------------------------------------------------------------------
-
-    /** The record of a gang's reservations; what does not fit is left out. */
-    public static Map<String, Object> reservations(List<Reservation> l, int mostChars) {
-        List<Object> out = new ArrayList<>();
-        int size = 10;
-        for (Reservation r : l) {
-            String s = r.task() + "@" + r.machine();
-            size += s.length() + 3;
-            if (size > mostChars) {
-                break; // what is not nominated is scanned for
-            }
-            out.add(s);
-        }
-        return Map.of("t", out);
-    }
-
-    /** Reads a gang's reservations. */
-    public static List<Reservation> reservations(Map<String, Object> m) {
-        List<Reservation> out = new ArrayList<>();
-        for (Object o : Fields.list(m, "t")) {
-            String s = (String) o;
-            int at = s.indexOf('@');
-            out.add(new Reservation(Integer.parseInt(s.substring(0, at)), s.substring(at + 1)));
-        }
-        return out;
-    }
 }
--- /dev/null
+++ b/src/main/java/org/mountlug/store/StateKeys.java
@@ -0,0 +1,34 @@
+package org.mountlug.store;
+
+/** Keys in the state service: a prefix where a name follows, else the whole key. */
+public final class StateKeys {
+    /** The leader, on its lease. */
+    public static final String LEADER = "leader";
+    /** Live jobs, by job; each record is the job's point of serialisation. */
+    public static final String LIVE = "j/";
+    /** Parts of live jobs, by job and number. */
+    public static final String PARTS = "p/";
+    /** Jobs that are over, by job. */
+    public static final String FINAL = "f/";
+    /** Reservations of gangs, by job. */
+    public static final String RESERVED = "r/";
+    /** The machine types, for controllers that start while the cloud is down. */
+    public static final String CATALOGUE = "catalogue";
+    /** Which machine has which image: the first note, which is the only one that production knows. */
+    public static final String IMAGES = "images";
+    /** The further notes, by number. */
+    public static final String MORE_IMAGES = "i/";
+    /** What each controller can read, by its label. */
+    public static final String VERSIONS = "v/";
+    /** How many workers' reports come to a follower that cannot tell the leader itself, by its label. */
+    public static final String REPORT_COUNTS = "h/";
+    /** The zones' state, which production does not know. */
+    public static final String ZONES = "zones";
+
+    private StateKeys() {}
+
+    /** The key of a note of images. */
+    public static String images(int note) {
+        return note == 0 ? IMAGES : MORE_IMAGES + note;
+    }
+}
--- a/src/main/java/org/mountlug/store/ZoneCodec.java
+++ b/src/main/java/org/mountlug/store/ZoneCodec.java
@@ -14,9 +14,6 @@
  * snapshot has ages.
  */
 public final class ZoneCodec {
-    /** The key; versions before it never look there. */
-    public static final String ZONES = "zones";
-
     private static final String LIST = "z";
     private static final String NAME = "n";
     private static final String STATE = "s";
--- a/src/test/java/org/mountlug/Samples.java
+++ b/src/test/java/org/mountlug/Samples.java
@@ -50,26 +50,12 @@
 
     /** A job of tasks that all need the same, in the given shape. */
     public static JobSpec spec(String id, Shape shape, int tasks, Resources need, Urgency u) {
-        return new JobSpec(
-                id,
-                "lane",
-                "t",
-                shape,
-                u,
-                tasks,
-                need,
-                null,
-                null,
-                false,
-                false,
-                true,
-                "img",
-                1,
-                30,
-                15,
-                3,
-                Double.NaN,
-                0);
+        return new SpecBuilder(id)
+                .shape(shape)
+                .tasks(tasks)
+                .need(need)
+                .urgency(u)
+                .build();
     }
 
     /** An array of small tasks. */
@@ -79,74 +65,17 @@
 
     /** The same job with other rules about the zones of its tasks. */
     public static JobSpec zones(JobSpec s, boolean oneZone, boolean apart) {
-        return new JobSpec(
-                s.id(),
-                s.lane(),
-                s.team(),
-                s.shape(),
-                s.urgency(),
-                s.tasks(),
-                s.need(),
-                s.types(),
-                s.zone(),
-                oneZone,
-                apart,
-                s.spot(),
-                s.image(),
-                s.imageGb(),
-                s.expectedS(),
-                s.checkpointS(),
-                s.saveS(),
-                s.deadlineS(),
-                s.submittedMs());
+        return SpecBuilder.of(s).rules(oneZone, apart).build();
     }
 
     /** The same job bound to a zone. */
     public static JobSpec in(JobSpec s, String zone) {
-        return new JobSpec(
-                s.id(),
-                s.lane(),
-                s.team(),
-                s.shape(),
-                s.urgency(),
-                s.tasks(),
-                s.need(),
-                s.types(),
-                zone,
-                s.oneZone(),
-                s.apart(),
-                s.spot(),
-                s.image(),
-                s.imageGb(),
-                s.expectedS(),
-                s.checkpointS(),
-                s.saveS(),
-                s.deadlineS(),
-                s.submittedMs());
+        return SpecBuilder.of(s).zone(zone).build();
     }
 
     /** The same job with another run time to expect and other checkpoints, 0 for none. */
     public static JobSpec timed(JobSpec s, double expectedS, double checkpointS) {
-        return new JobSpec(
-                s.id(),
-                s.lane(),
-                s.team(),
-                s.shape(),
-                s.urgency(),
-                s.tasks(),
-                s.need(),
-                s.types(),
-                s.zone(),
-                s.oneZone(),
-                s.apart(),
-                s.spot(),
-                s.image(),
-                s.imageGb(),
-                expectedS,
-                checkpointS,
-                s.saveS(),
-                s.deadlineS(),
-                s.submittedMs());
+        return SpecBuilder.of(s).times(expectedS, checkpointS).build();
     }
 
     /** The placement's machine reports it running. */
@@ -162,26 +91,7 @@
 
     /** The same job of another class and team, submitted at another time. */
     public static JobSpec named(JobSpec s, String lane, String team, long submittedMs) {
-        return new JobSpec(
-                s.id(),
-                lane,
-                team,
-                s.shape(),
-                s.urgency(),
-                s.tasks(),
-                s.need(),
-                s.types(),
-                s.zone(),
-                s.oneZone(),
-                s.apart(),
-                s.spot(),
-                s.image(),
-                s.imageGb(),
-                s.expectedS(),
-                s.checkpointS(),
-                s.saveS(),
-                s.deadlineS(),
-                submittedMs);
+        return SpecBuilder.of(s).lane(lane).team(team).submittedMs(submittedMs).build();
     }
 
     /** Takes the job in as one that the state service holds. */
--- a/src/test/java/org/mountlug/core/AllocatorTest.java
+++ b/src/test/java/org/mountlug/core/AllocatorTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mountlug.Samples;
+import org.mountlug.SpecBuilder;
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
@@ -202,26 +203,12 @@
         var s = Samples.array("wk-000003", 1);
         Job u = Samples.live(
                 c,
-                new org.mountlug.core.model.JobSpec(
-                        "wk-000003",
-                        s.lane(),
-                        "u",
-                        Shape.ARRAY,
-                        s.urgency(),
-                        1,
-                        s.need(),
-                        null,
-                        null,
-                        false,
-                        false,
-                        true,
-                        "img",
-                        1,
-                        30,
-                        15,
-                        3,
-                        Double.NaN,
-                        99));
+                new SpecBuilder("wk-000003")
+                        .team("u")
+                        .need(s.need())
+                        .urgency(s.urgency())
+                        .submittedMs(99)
+                        .build());
         assertEquals(2, round(c, 1));
         assertFalse(u.placed.isEmpty());
     }
--- a/src/test/java/org/mountlug/core/PreemptorTest.java
+++ b/src/test/java/org/mountlug/core/PreemptorTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mountlug.Samples;
+import org.mountlug.SpecBuilder;
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
@@ -22,26 +23,12 @@
 class PreemptorTest {
     private static JobSpec of(String id, String team, Urgency u) {
         JobSpec s = Samples.spec(id, true, 1, new Resources(20, 2, 60), u);
-        return new JobSpec(
-                id,
-                s.lane(),
-                team,
-                Shape.GANG,
-                u,
-                1,
-                s.need(),
-                null,
-                null,
-                false,
-                false,
-                true,
-                "img",
-                1,
-                30,
-                15,
-                3,
-                Double.NaN,
-                0);
+        return new SpecBuilder(id)
+                .team(team)
+                .shape(Shape.GANG)
+                .urgency(u)
+                .need(s.need())
+                .build();
     }
 
     @ParameterizedTest(name = "{0} of t, guaranteed {1} GPUs, over {5} of {2} of u, guaranteed {3}: stopped {4}")
@@ -91,27 +78,7 @@
         for (int i = 0; i < gangs; i++) {
             JobSpec s = of("wk-10000" + i, "u", Urgency.STANDARD);
             victims.add(Samples.live(
-                    c,
-                    new JobSpec(
-                            s.id(),
-                            s.lane(),
-                            s.team(),
-                            Shape.GANG,
-                            s.urgency(),
-                            tasks,
-                            s.need(),
-                            null,
-                            null,
-                            false,
-                            false,
-                            true,
-                            "img",
-                            1,
-                            30,
-                            15,
-                            3,
-                            Double.NaN,
-                            0)));
+                    c, SpecBuilder.of(s).shape(Shape.GANG).tasks(tasks).build()));
         }
         new Allocator(c, Samples.zones(c), j -> 0, new ReplicaTimes(j -> 8, 1), 1).round();
         List<Job> mine = new ArrayList<>();
--- a/src/test/java/org/mountlug/node/LargeFleetTest.java
+++ b/src/test/java/org/mountlug/node/LargeFleetTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.mountlug.core.zone.ZoneSettings;
 import org.mountlug.core.zone.ZoneState;
-import org.mountlug.store.RecordCodec;
+import org.mountlug.store.StateKeys;
 
 /**
  * No fixed limit stands below 4,000 machines: all are rented or found, get work, are known again to a new leader, report at
@@ -52,7 +52,7 @@
         assertEquals(MACHINES, known());
         Set<String> before = busy();
         cluster.run(30);
-        assertNotNull(cluster.state.value(RecordCodec.imagesKey(1)), "one value does not hold the images of all");
+        assertNotNull(cluster.state.value(StateKeys.images(1)), "one value does not hold the images of all");
         assertTrue(cluster.state.largestValue <= 8 * 1024);
 
         SimulatedCluster.Node leader = cluster.leader();
--- a/src/test/java/org/mountlug/node/ZoneLossTest.java
+++ b/src/test/java/org/mountlug/node/ZoneLossTest.java
@@ -21,7 +21,7 @@
 import org.mountlug.core.zone.ZoneSettings;
 import org.mountlug.core.zone.ZoneState;
 import org.mountlug.core.zone.ZoneThresholds;
-import org.mountlug.store.ZoneCodec;
+import org.mountlug.store.StateKeys;
 
 /**
  * Whole controllers while a zone drops off the network and returns. The simulated cluster checks the rules as it goes: no task
@@ -374,7 +374,7 @@
         scenario.cluster.run(afterS);
         scenario.cluster.leader().upgradeAfter(1);
         scenario.cluster.run(30 - afterS / 2);
-        assertNull(scenario.cluster.state.value(ZoneCodec.ZONES), "not written while one controller cannot read it");
+        assertNull(scenario.cluster.state.value(StateKeys.ZONES), "not written while one controller cannot read it");
         scenario.rejoin("a");
         scenario.cluster.nodes.stream().filter(node -> node.old).forEach(node -> node.upgradeAfter(1));
         end(scenario.cluster, 400);
@@ -387,7 +387,7 @@
         scenario.cut("a");
         assertTrue(scenario.until(20, "a", ZoneState.LOST));
         scenario.cluster.run(3);
-        assertNotNull(scenario.cluster.state.value(ZoneCodec.ZONES));
+        assertNotNull(scenario.cluster.state.value(StateKeys.ZONES));
         for (SimulatedCluster.Node node : scenario.cluster.nodes) {
             node.old = true;
             node.restartAfter(1);
--- a/src/test/java/org/mountlug/store/ProductionTest.java
+++ b/src/test/java/org/mountlug/store/ProductionTest.java
@@ -119,7 +119,7 @@
                 Cbor.readMap(bytes("final-done.cbor")).keySet());
         assertEquals(
                 List.of(new Reservation(0, "n-000012"), new Reservation(1, "n-000044")),
-                RecordCodec.reservations(Cbor.readMap(bytes("reservations.cbor"))));
+                ReservationCodec.read(Cbor.readMap(bytes("reservations.cbor"))));
         PeerCodec.Answer a = new PeerCodec.Answer(5, -77, true, 41, 12, false, List.of("wk-000105", "wk-000001"));
         assertEquals(a, PeerCodec.answer(PeerCodec.next(ByteBuffer.wrap(bytes("peer-answer.cbor")))));
         // What we say is what it would say, to the byte; a longer frame of a later version is understood as far as it
--- a/src/test/java/org/mountlug/store/RecordCodecTest.java
+++ b/src/test/java/org/mountlug/store/RecordCodecTest.java
@@ -117,7 +117,7 @@
             machine.images.add("img-" + i % 7);
             machines.add(machine);
         }
-        List<Map<String, Object>> notes = RecordCodec.images(machines, chars);
+        List<Map<String, Object>> notes = ImageCodec.notes(machines, chars);
         assertTrue(notes.size() <= most, notes.size() + " notes");
         int noted = 0;
         for (Map<String, Object> note : notes) {
@@ -126,7 +126,7 @@
         }
         assertEquals(count, noted);
         machines.get(count / 2).images.add("img-new");
-        List<Map<String, Object>> later = RecordCodec.images(machines, chars);
+        List<Map<String, Object>> later = ImageCodec.notes(machines, chars);
         assertEquals(notes.size(), later.size());
         int changed = 0;
         for (int i = 0; i < notes.size(); i++) {
