As many connections wait to be accepted as there are sockets for workers

Need: 512 was a fixed limit below 4,000 machines, all of which connect at the same time after a change of leader. Change: derived from the sockets that the settings allow.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -350,6 +350,8 @@
     /** Milliseconds between turns of a node's clock; everything periodic is a multiple of it. */
     public static final int TICK_MS = 100;
 
+    /** Connections that may wait to be accepted, at the least: a burst of users, or of a few hundred workers. */
+    public static final int BACKLOG_LEAST = 512;
     /** Sockets left for users; the load balancer gives a node some hundred at most, and refuses nobody above it. */
     public static final int USER_CONNECTIONS = 100;
     /** Milliseconds after which a connection without a request is closed: workers report and users poll every 5 s. */
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -16,6 +16,7 @@
 import org.mountlug.peer.Peers;
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
+import org.mountlug.settings.Sizes;
 import org.mountlug.store.StateClient;
 import org.mountlug.wire.Http;
 import org.slf4j.Logger;
@@ -93,7 +94,7 @@
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .setSocketOption(Options.BACKLOG, 512)
+                .setSocketOption(Options.BACKLOG, Sizes.backlog(settings))
                 .build();
         server.start();
         Map<String, String> others = new LinkedHashMap<>();
--- a/src/main/java/org/mountlug/settings/Sizes.java
+++ b/src/main/java/org/mountlug/settings/Sizes.java
@@ -26,6 +26,11 @@
         return s.fdLimit() - ownSockets(s) - Constants.OTHER_FILES;
     }
 
+    /** Connections that may wait to be accepted: all workers come at the same time after a change of leader. */
+    public static int backlog(Settings s) {
+        return Math.max(Constants.BACKLOG_LEAST, workers(s));
+    }
+
     /**
      * Says what is worth knowing about the sizes.
      *
--- a/src/test/java/org/mountlug/settings/SettingsTest.java
+++ b/src/test/java/org/mountlug/settings/SettingsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.wire.Fields;
 
 /** Settings name the field that is wrong. */
 class SettingsTest {
@@ -116,6 +117,15 @@
         }
     }
 
+    /** All workers may come at the same time, so as many connections wait as there are sockets for workers. */
+    @ParameterizedTest(name = "{0} sockets: {1} wait")
+    @CsvSource({"600, 512", "2500, 2297", "5000, 4797"})
+    void connectionsThatWaitFollowFromTheSockets(long sockets, int waiting) throws Settings.Invalid {
+        Map<String, Object> m = good();
+        Fields.map(m.get("cluster")).put("machine_limits", Map.of("fd_limit", sockets));
+        assertEquals(waiting, Sizes.backlog(Settings.of(m, Operators.defaults())));
+    }
+
     @ParameterizedTest(name = "{0}.{1}")
     @CsvSource({"shares, t, -1", "log, format, xml", "machines, spot_risk, 0", "machins, a, 1"})
     void operatorsMistakesAreErrors(String table, String field, String value) {
