--- a/src/test/java/org/mountlug/node/ZoneLossTest.java
+++ b/src/test/java/org/mountlug/node/ZoneLossTest.java
@@ -75,8 +75,7 @@
         Map<String, List<Integer>> displaced = scenario.held("a");
         assertTrue(displaced.containsKey(id(URGENT)) && displaced.size() > 1, "both classes are displaced");
         double cutAt = scenario.cluster.now;
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
         scenario.cluster.run(60);
         assertEquals(0, inversions(scenario, first.isEmpty(), cutAt));
         for (int index : displaced.get(id(URGENT))) {
@@ -94,12 +93,10 @@
         scenario.cluster.runS = 30;
         scenario.array(1, "parts", "standard", 400);
         assertTrue(allStarted(scenario.cluster, 240));
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
         scenario.cluster.run(20);
         assertEquals(0, scenario.starts("a", scenario.cluster.now - 20, scenario.cluster.now));
-        scenario.rejoin("a");
-        assertTrue(scenario.until(30, "a", ZoneState.RETURNING));
+        assertTrue(scenario.returns("a"));
         double from = scenario.cluster.now;
         double[] windows = new double[1];
         for (int second = 1; second <= 18 && scenario.state("a") == ZoneState.RETURNING; second++) {
@@ -125,8 +122,7 @@
         assertTrue(allStarted(scenario.cluster, 72));
         int before = scenario.cluster.rented;
         for (int flap = 1; flap <= 2; flap++) {
-            scenario.cut("a");
-            assertTrue(scenario.until(20, "a", ZoneState.LOST));
+            assertTrue(scenario.lose("a"));
             scenario.cluster.run(3);
             scenario.rejoin("a");
             double joinedAt = scenario.cluster.now;
@@ -153,12 +149,10 @@
             scenario.cluster.in(60, worker::die);
         }
         scenario.cluster.run(4);
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
         scenario.cluster.run(5);
         double joinedAt = scenario.cluster.now;
-        scenario.rejoin("a");
-        assertTrue(scenario.until(30, "a", ZoneState.RETURNING));
+        assertTrue(scenario.returns("a"));
         scenario.cluster.run(20);
         List<String> names = taken.stream().map(worker -> worker.name).toList();
         assertTrue(scenario.cluster.startLog.stream()
@@ -191,10 +185,8 @@
         scenario.cluster.runS = 40;
         scenario.array(1, "parts", "standard", 500);
         assertTrue(allStarted(scenario.cluster, 240));
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
-        scenario.rejoin("a");
-        assertTrue(scenario.until(30, "a", ZoneState.RETURNING));
+        assertTrue(scenario.lose("a"));
+        assertTrue(scenario.returns("a"));
         for (int change = 0; change < 2; change++) {
             scenario.cluster.run(4);
             double window = scenario.status("a").window();
@@ -222,10 +214,8 @@
         scenario.cluster.runS = 40;
         scenario.array(1, "parts", "standard", 500);
         assertTrue(allStarted(scenario.cluster, 240));
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
-        scenario.rejoin("a");
-        assertTrue(scenario.until(30, "a", ZoneState.RETURNING));
+        assertTrue(scenario.lose("a"));
+        assertTrue(scenario.returns("a"));
         scenario.cluster.run(3);
         long token = scenario.cluster.leader().token();
         scenario.cluster.state.refusedPath = "/kv/" + StateKeys.ZONES;
@@ -247,8 +237,7 @@
     @Test
     void halfOfTheZoneComesBack() {
         ZoneScenario scenario = crowded(ON);
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
         double joinedAt = scenario.cluster.now;
         scenario.rejoin("a", 0.5);
         assertTrue(scenario.until(30, "a", ZoneState.RETURNING));
@@ -291,12 +280,9 @@
     @Test
     void aSecondZoneGoesWhileTheFirstReturns() {
         ZoneScenario scenario = crowded(SLOW_RAMP);
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
-        scenario.rejoin("a");
-        assertTrue(scenario.until(30, "a", ZoneState.RETURNING));
-        scenario.cut("b");
-        assertTrue(scenario.until(20, "b", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
+        assertTrue(scenario.returns("a"));
+        assertTrue(scenario.lose("b"));
         double from = scenario.cluster.now;
         scenario.cluster.run(20);
         assertEquals(0, scenario.starts("b", from, scenario.cluster.now));
@@ -310,8 +296,7 @@
     @CsvSource({"1, 12, false", "6, 25, false", "1, 20, true"})
     void theStateServiceIsDownAsTheZoneReturns(double beforeS, double forS, boolean leaderEnds) {
         ZoneScenario scenario = crowded(ON);
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
         scenario.cluster.run(6);
         scenario.cluster.state.outage = true;
         scenario.cluster.run(beforeS);
@@ -413,8 +398,7 @@
     @Test
     void theStateIsStoredAndAnOlderLeaderIgnoresIt() {
         ZoneScenario scenario = crowded(ON);
-        scenario.cut("a");
-        assertTrue(scenario.until(20, "a", ZoneState.LOST));
+        assertTrue(scenario.lose("a"));
         scenario.cluster.run(3);
         assertNotNull(scenario.cluster.state.value(StateKeys.ZONES));
         for (SimulatedCluster.Node node : scenario.cluster.nodes) {
--- a/src/test/java/org/mountlug/node/ZoneScenario.java
+++ b/src/test/java/org/mountlug/node/ZoneScenario.java
@@ -75,6 +75,18 @@
         }
     }
 
+    /** Cuts the zone off and waits until it is lost; false if it never is. */
+    boolean lose(String zone) {
+        cut(zone);
+        return until(20, zone, ZoneState.LOST);
+    }
+
+    /** Joins the zone again and waits until it returns; false if it never does. */
+    boolean returns(String zone) {
+        rejoin(zone);
+        return until(30, zone, ZoneState.RETURNING);
+    }
+
     List<SimulatedCluster.Worker> in(String zone) {
         return cluster.workers.values().stream()
                 .filter(worker -> worker.zone.equals(zone))
