--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -118,6 +118,13 @@
         return failures;
     }
 
+    /** What it has not heard until now was the network's doing, and does not count against it. */
+    public void forgiveUnheard(double nowS) {
+        if (!Double.isNaN(unheardSinceS)) {
+            unheardSinceS = nowS;
+        }
+    }
+
     /** Notes its order by this leader, who so knows when it was sent. */
     void ordered() {
         bootWatched = true;
--- a/src/main/java/org/mountlug/core/zone/ZoneWatch.java
+++ b/src/main/java/org/mountlug/core/zone/ZoneWatch.java
@@ -89,9 +89,20 @@
         for (Map.Entry<String, ZoneTracker> entry : trackers.entrySet()) {
             observe(entry.getKey(), entry.getValue(), attributable, nowS);
         }
+        markMachines(nowS);
+    }
+
+    private void markMachines(double nowS) {
         Set<String> held = budgets().keySet();
         for (Machine machine : cluster.machines.values()) {
-            machine.zoneHeldBack = machine.zone != null && (held.contains(machine.zone) || !admits(machine.zone));
+            if (machine.zone == null) {
+                continue;
+            }
+            machine.zoneHeldBack = held.contains(machine.zone) || !admits(machine.zone);
+            boolean away = state(machine.zone) != ZoneState.PRESENT;
+            if (away && cluster.silentS(machine, nowS) > leaseS) {
+                machine.forgiveUnheard(nowS);
+            }
         }
     }
 
--- a/src/main/java/org/mountlug/node/Daemon.java
+++ b/src/main/java/org/mountlug/node/Daemon.java
@@ -110,8 +110,11 @@
     public void stop() {
         stopped = true;
         server.stop();
-        peers.close();
-        worker.shutdownNow();
+        // Peers are touched by the I/O thread alone, which shuts down once it has closed them.
+        io.execute(() -> {
+            peers.close();
+            worker.shutdownNow();
+        });
     }
 
     private void after(Runnable r, int ms) {
--- a/src/main/java/org/mountlug/peer/Peers.java
+++ b/src/main/java/org/mountlug/peer/Peers.java
@@ -95,7 +95,7 @@
         for (Link l : links) {
             l.close();
         }
-        accepted.forEach(IoUtils::safeClose);
+        List.copyOf(accepted).forEach(IoUtils::safeClose); // each leaves the list as it closes
     }
 
     private void serve(StreamConnection c) {
--- /dev/null
+++ b/src/test/java/org/mountlug/node/LoopbackCluster.java
@@ -0,0 +1,369 @@
+package org.mountlug.node;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.mountlug.core.model.Order;
+import org.mountlug.core.model.Report;
+import org.mountlug.settings.Operators;
+import org.mountlug.settings.Settings;
+import org.mountlug.wire.Cbor;
+import org.mountlug.wire.Fields;
+import org.mountlug.wire.Http;
+
+/**
+ * Real controllers over loopback sockets against the stand-ins of a simulated cluster, whose clock follows the real one: the
+ * state service, the cloud and the workers answer HTTP, and the workers check the rules as they do in memory.
+ */
+final class LoopbackCluster implements AutoCloseable {
+    private static final int STEP_MS = 20;
+    private static final double STANDIN_WAIT_S = 15;
+    private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(4);
+
+    /** All of it is touched under its own monitor only. */
+    final SimulatedCluster world;
+
+    private final SimulatedCluster.Node user;
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final List<String> controllers = new ArrayList<>();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Path directory = Files.createTempDirectory("loopback");
+    private volatile boolean closed;
+
+    LoopbackCluster(SimulatedCluster world, Operators operators, int count) throws IOException, Settings.Invalid {
+        this.world = world;
+        user = world.new Node("user", 0, List.of());
+        world.reporting = this::report;
+        String state = serve(call -> world.state
+                .calls(null, () -> StateStandIn.Link.GOOD)
+                .call(call.method, call.path, call.body, call.waitMs(), call.then));
+        String cloud = serve(call -> world.cloud.call(call.method, call.path, call.body, call.waitMs(), call.then));
+        int[] ports = freePorts(2 * count);
+        for (int i = 0; i < count; i++) {
+            Settings settings = Settings.load(settingsFile(i, count, ports, state, cloud), operators);
+            Daemon daemon = new Daemon(settings, operators, List.of());
+            daemon.start();
+            daemons.add(daemon);
+            controllers.add(settings.listen());
+        }
+        threads.execute(this::followClock);
+    }
+
+    // ---- the clock ----------------------------------------------------------------------------------------------
+
+    private void followClock() {
+        long last = System.nanoTime();
+        while (!closed) {
+            long now = System.nanoTime();
+            synchronized (world) {
+                world.run((now - last) / 1e9);
+            }
+            last = now;
+            pause(STEP_MS);
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits until a condition holds, looked at under the world's monitor; false if it never does. */
+    boolean until(double mostS, java.util.function.BooleanSupplier condition) {
+        long end = System.nanoTime() + (long) (mostS * 1e9);
+        while (System.nanoTime() < end) {
+            synchronized (world) {
+                if (condition.getAsBoolean()) {
+                    return true;
+                }
+            }
+            pause(5 * STEP_MS);
+        }
+        return false;
+    }
+
+    // ---- servers ------------------------------------------------------------------------------------------------
+
+    /** A request to a stand-in, to be answered at any later time. */
+    private record Call(HttpString method, String path, Map<String, Object> body, Consumer<Http.Answer> then) {
+        int waitMs() {
+            Matcher block = Pattern.compile("blockMs=(\\d+)").matcher(path);
+            return block.find() ? Integer.parseInt(block.group(1)) : 1000;
+        }
+    }
+
+    private String serve(Consumer<Call> standIn) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
+        server.setExecutor(threads);
+        server.createContext("/", exchange -> answer(exchange, standIn));
+        server.start();
+        servers.add(server);
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    private void answer(HttpExchange exchange, Consumer<Call> standIn) throws IOException {
+        byte[] raw = exchange.getRequestBody().readAllBytes();
+        CompletableFuture<Http.Answer> answered = new CompletableFuture<>();
+        Map<String, Object> body = raw.length == 0 ? Map.of() : Cbor.readMap(raw);
+        synchronized (world) {
+            standIn.accept(new Call(
+                    new HttpString(exchange.getRequestMethod()),
+                    exchange.getRequestURI().toString(),
+                    body,
+                    answered::complete));
+        }
+        try {
+            Http.Answer answer = answered.get((long) STANDIN_WAIT_S, TimeUnit.SECONDS);
+            byte[] out = Cbor.write(answer.body());
+            exchange.sendResponseHeaders(answer.status(), out.length);
+            exchange.getResponseBody().write(out);
+        } catch (TimeoutException | ExecutionException e) {
+            // Whoever asked has given up: silence is the answer.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            exchange.close();
+        }
+    }
+
+    private static int[] freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        int[] ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            sockets.add(new ServerSocket(0));
+            ports[i] = sockets.get(i).getLocalPort();
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    private Path settingsFile(int index, int count, int[] ports, String state, String cloud) throws IOException {
+        StringBuilder text = new StringBuilder();
+        text.append("label = \"c-%d\"\nzone = \"b\"\n".formatted(index));
+        text.append("listen = \"127.0.0.1:%d\"\n".formatted(ports[2 * index]));
+        text.append("cluster_listen = \"127.0.0.1:%d\"\n".formatted(ports[2 * index + 1]));
+        for (int other = 0; other < count; other++) {
+            if (other != index) {
+                text.append("[[others]]\nlabel = \"c-%d\"\nzone = \"b\"\nendpoint = \"127.0.0.1:%d\"\n"
+                        .formatted(other, ports[2 * other + 1]));
+            }
+        }
+        text.append("[endpoints]\ncloud = \"%s\"\nstate = \"%s\"\n".formatted(cloud, state));
+        text.append("""
+                [cluster]
+                skew_ms = 25.0
+                [[cluster.teams]]
+                name = "t"
+                [cluster.workers]
+                report_s = 2.0
+                lease_s = %s
+                gang_wait_s = 50.0
+                gang_peer_s = 6.0
+                cancel_s = 30.0
+                [cluster.state]
+                rps = 200.0
+                write_rps = 25.0
+                value_kb = 8.0
+                txn_ops = 8
+                [cluster.cloud]
+                rps = 4.0
+                list_lag_s = 1.0
+                """.formatted(world.leaseS));
+        Path file = directory.resolve("c-" + index + ".toml");
+        Files.writeString(file, text);
+        return file;
+    }
+
+    // ---- workers ------------------------------------------------------------------------------------------------
+
+    /** Opens the address at which the worker takes orders; one that is cut off never answers. */
+    void open(SimulatedCluster.Worker worker) throws IOException {
+        worker.address = serve(call -> {
+            if (!worker.inside) {
+                worker.command(call.body, call.then);
+            }
+        });
+    }
+
+    /** Sends a worker's report, as the worker's clock says. */
+    private void report(SimulatedCluster.Worker worker) {
+        if (worker.inside) {
+            tryNext(worker, 2);
+            return;
+        }
+        Report report = worker.report();
+        double sentAt = world.now;
+        HttpRequest request = request(controllers.get(worker.at), "/agent/beat", Cbor.write(worker.message(report)));
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).whenComplete((answer, failure) -> {
+            synchronized (world) {
+                reported(worker, report, sentAt, failure == null ? answer : null);
+            }
+        });
+    }
+
+    private void reported(SimulatedCluster.Worker worker, Report report, double sentAt, HttpResponse<byte[]> answer) {
+        if (worker.gone || closed) {
+            return;
+        }
+        if (answer == null || worker.inside) {
+            tryNext(worker, 1);
+            return;
+        }
+        Map<String, Object> body = readMap(answer.body());
+        if (answer.statusCode() == 200) {
+            List<Order> orders = new ArrayList<>();
+            for (Object element : Fields.list(body, "orders")) {
+                orders.add(order(Fields.map(element)));
+            }
+            worker.heard(
+                    new Controller.ReportAnswer.Orders(Fields.num(body, "baton", 0), orders), sentAt, report.session());
+            return;
+        }
+        String foreman = Fields.str(body, "foreman");
+        if (answer.statusCode() == 421 && foreman != null) {
+            worker.at = Integer.parseInt(foreman.substring(2));
+            world.in(0.2, worker::sendReport);
+        } else {
+            tryNext(worker, 1);
+        }
+    }
+
+    private void tryNext(SimulatedCluster.Worker worker, double afterS) {
+        worker.at = (worker.at + 1) % controllers.size();
+        world.in(afterS, worker::sendReport);
+    }
+
+    private static Order order(Map<String, Object> order) {
+        Order.Verb verb =
+                switch (Fields.str(order, "verb", "")) {
+                    case "start" -> Order.Verb.START;
+                    case "kill" -> Order.Verb.STOP;
+                    default -> Order.Verb.FORGET;
+                };
+        return new Order(
+                verb, Fields.str(order, "piece"), Fields.num(order, "try", 0), Fields.dec(order, "leewayS", 0));
+    }
+
+    // ---- users --------------------------------------------------------------------------------------------------
+
+    private static HttpRequest request(String to, String path, byte[] body) {
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder(URI.create("http://" + to + path)).timeout(REPORT_TIMEOUT);
+        return (body == null ? builder.GET() : builder.POST(HttpRequest.BodyPublishers.ofByteArray(body))).build();
+    }
+
+    private static Map<String, Object> readMap(byte[] raw) {
+        try {
+            return raw.length == 0 ? Map.of() : Cbor.readMap(raw);
+        } catch (IOException e) {
+            return Map.of();
+        }
+    }
+
+    /** Submits a job at any controller until one accepts it. */
+    boolean submit(String id, int tasks, Map<String, Object> more) {
+        byte[] body;
+        synchronized (world) {
+            body = user.body(id, tasks, false, more);
+        }
+        for (int attempt = 0; attempt < 30; attempt++) {
+            int status = ask(attempt, "submission", id, "/work", body);
+            if (status == 201 || status == 200) {
+                return true;
+            }
+            pause(500);
+        }
+        return false;
+    }
+
+    /** Asks a controller about a job; what it says is held against all that was said before. */
+    int poll(int controller, String id) {
+        return ask(controller, "poll", id, "/work/" + id, null);
+    }
+
+    private int ask(int controller, String question, String id, String path, byte[] body) {
+        double askedAt;
+        synchronized (world) {
+            askedAt = world.now;
+        }
+        try {
+            HttpResponse<byte[]> answer = client.send(
+                    request(controllers.get(controller % controllers.size()), path, body),
+                    HttpResponse.BodyHandlers.ofByteArray());
+            synchronized (world) {
+                world.told(id, askedAt, question, answer.statusCode(), readMap(answer.body()));
+            }
+            return answer.statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
+    /** A zone's meter as the leading controller shows it; NaN while none does. */
+    double meter(String name, String zone) {
+        Pattern line = Pattern.compile(name + "\\{zone=\"" + zone + "\"\\} (\\S+)");
+        for (String controller : controllers) {
+            try {
+                String text = client.send(request(controller, "/metrics", null), HttpResponse.BodyHandlers.ofString())
+                        .body();
+                Matcher found = line.matcher(text);
+                if (text.contains("mountlug_leading 1.0") && found.find()) {
+                    return Double.parseDouble(found.group(1));
+                }
+            } catch (IOException e) {
+                // asked again
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return Double.NaN;
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        daemons.forEach(Daemon::stop);
+        servers.forEach(server -> server.stop(0));
+        threads.shutdownNow();
+        try (var files = Files.list(directory)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(directory);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mountlug/node/ZoneLoopbackTest.java
@@ -0,0 +1,172 @@
+package org.mountlug.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.mountlug.node.FaultScenario.id;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.mountlug.core.model.Team;
+import org.mountlug.core.zone.RampLimits;
+import org.mountlug.core.zone.ZoneSettings;
+import org.mountlug.core.zone.ZoneState;
+import org.mountlug.core.zone.ZoneThresholds;
+import org.mountlug.settings.Operators;
+import org.mountlug.settings.Settings;
+
+/** Three zones, three controllers over sockets: one zone is cut off and joined again. Nothing is asserted of speed. */
+class ZoneLoopbackTest {
+    private static final int MACHINES_A_ZONE = 4;
+    private static final int JOBS = 6;
+    private static final double WAIT_S = 60;
+    private static final ZoneSettings SETTINGS = new ZoneSettings(
+            true, List.of(), new ZoneThresholds(3, 0.5, 0.8, 0.25, 0.5, 1, 2, 8, 60), new RampLimits(0.1, 0.1, 1));
+
+    private static SimulatedCluster world(Operators operators) {
+        SimulatedCluster world =
+                new SimulatedCluster(0, List.of(new Team("t", 0, 0, 0, 0, 1)), 5, false, 8, 8, operators);
+        world.cloud.zones = List.copyOf(ZoneScenario.ZONES);
+        world.cloud.refusing.addAll(ZoneScenario.ZONES);
+        world.runS = 4;
+        return world;
+    }
+
+    private static void inside(SimulatedCluster world, boolean is) {
+        for (SimulatedCluster.Worker worker : world.workers.values()) {
+            worker.inside = is && worker.zone.equals("a");
+        }
+    }
+
+    private static boolean state(LoopbackCluster cluster, ZoneState state) {
+        return cluster.meter("mountlug_zone_state", "a") == state.ordinal();
+    }
+
+    private static boolean await(LoopbackCluster cluster, ZoneState state) {
+        for (int i = 0; i < 10 * WAIT_S && !state(cluster, state); i++) {
+            cluster.until(0.1, () -> false);
+        }
+        return state(cluster, state);
+    }
+
+    @Test
+    void aZoneIsLostAndReturns() throws IOException, Settings.Invalid {
+        Operators operators = Operators.defaults().with(SETTINGS);
+        SimulatedCluster world = world(operators);
+        try (LoopbackCluster cluster = new LoopbackCluster(world, operators, 3)) {
+            synchronized (world) {
+                for (int i = 0; i < MACHINES_A_ZONE; i++) {
+                    for (String zone : ZoneScenario.ZONES) {
+                        cluster.open(world.worker(zone));
+                    }
+                }
+            }
+            assertTrue(cluster.submit(id(1), 4, Map.of("lane", "proofs", "urgency", "high")));
+            for (int job = 2; job <= JOBS - 1; job++) {
+                assertTrue(cluster.submit(id(job), 40, Map.of("lane", "parts", "urgency", "standard")));
+            }
+            assertTrue(cluster.until(WAIT_S, () -> world.startLog.size() >= 48), "all machines have work");
+            assertTrue(cluster.submit(id(JOBS), 30, Map.of("lane", "proofs", "urgency", "high")));
+            double cutAt;
+            synchronized (world) {
+                cutAt = world.now;
+                inside(world, true);
+            }
+            assertTrue(await(cluster, ZoneState.LOST));
+            double lostAt;
+            synchronized (world) {
+                lostAt = world.now;
+            }
+            cluster.until(4, () -> false);
+            synchronized (world) {
+                assertEquals(0, startsInZone(world, lostAt));
+                assertEquals(0, inversions(world, cutAt), "urgent work went first");
+                inside(world, false);
+            }
+            assertTrue(await(cluster, ZoneState.RETURNING));
+            paced(cluster);
+            finish(cluster);
+            synchronized (world) {
+                assertEquals(List.of(), world.broken());
+            }
+        }
+    }
+
+    private static long startsInZone(SimulatedCluster world, double from) {
+        return world.startLog.stream()
+                .filter(start -> start.zone().equals("a") && start.at() >= from)
+                .count();
+    }
+
+    /** Bulk starts between the time from which urgent tasks certainly waited and the start of the last of these. */
+    private static long inversions(SimulatedCluster world, double cutAt) {
+        double openFrom = cutAt + world.leaseS + ZoneScenario.START_DELAY_S;
+        List<String> urgent = List.of(id(1), id(JOBS));
+        double lastUrgent = world.startLog.stream()
+                .filter(start -> urgent.contains(start.job()))
+                .mapToDouble(SimulatedCluster.Start::at)
+                .max()
+                .orElse(0);
+        return world.startLog.stream()
+                .filter(start -> !urgent.contains(start.job()) && start.at() > openFrom)
+                .filter(start -> start.at() < lastUrgent - ZoneScenario.START_DELAY_S)
+                .count();
+    }
+
+    /** While the zone returns, starts there keep to what the ramp has admitted so far, and some do take place. */
+    private static void paced(LoopbackCluster cluster) {
+        SimulatedCluster world = cluster.world;
+        double from;
+        synchronized (world) {
+            from = world.now;
+        }
+        double window = 0;
+        double admitted = 0;
+        long starts = 0;
+        for (int second = 0; second < WAIT_S && state(cluster, ZoneState.RETURNING); second++) {
+            double now = cluster.meter("mountlug_zone_ramp_starts", "a");
+            assertTrue(Double.isNaN(now) || now <= Math.max(1, window) + 2, "grows by addition: " + window + " " + now);
+            window = Double.isNaN(now) ? window : now;
+            assertTrue(window <= MACHINES_A_ZONE);
+            synchronized (world) {
+                starts = startsInZone(world, from);
+            }
+            // Rounds may come twice a second when somebody waits for room by the second.
+            admitted += 2 * (window + 1);
+            assertTrue(starts <= admitted, starts + " starts, " + admitted + " admitted");
+            cluster.until(1, () -> false);
+        }
+        assertTrue(await(cluster, ZoneState.PRESENT));
+        assertTrue(starts > 0, "work does return");
+    }
+
+    /** Every job gets one final outcome, at whichever controller it is asked for. */
+    private static void finish(LoopbackCluster cluster) {
+        SimulatedCluster world = cluster.world;
+        for (int i = 0; i < 3 * WAIT_S; i++) {
+            for (int job = 1; job <= JOBS; job++) {
+                cluster.poll(i + job, id(job));
+            }
+            boolean all = cluster.until(0.5, () -> {
+                for (int job = 1; job <= JOBS; job++) {
+                    if (world.outcome(id(job)) == null) {
+                        return false;
+                    }
+                }
+                return true;
+            });
+            if (all) {
+                break;
+            }
+        }
+        for (int job = 1; job <= JOBS; job++) {
+            for (int controller = 0; controller < 3; controller++) {
+                assertEquals(200, cluster.poll(controller, id(job)));
+            }
+            synchronized (world) {
+                assertEquals("done", world.outcome(id(job)));
+            }
+        }
+    }
+}
--- a/src/test/java/org/mountlug/node/ZoneLossTest.java
+++ b/src/test/java/org/mountlug/node/ZoneLossTest.java
@@ -231,6 +231,22 @@
         assertEquals(ZoneState.PRESENT, scenario.state("a"));
     }
 
+    /**
+     * Machines heard again after three leases and more were taken for ones that hear nothing, as what they had not heard
+     * while they were cut off counted, and the whole zone was returned at its first report.
+     */
+    @ParameterizedTest(name = "away for {0} s")
+    @ValueSource(doubles = {20, 45, 100})
+    void aZoneThatWasAwayForLongIsNotReturnedAtItsFirstReport(double awayS) {
+        ZoneScenario scenario = crowded(ON);
+        scenario.cut("a");
+        scenario.cluster.run(awayS);
+        scenario.rejoin("a");
+        scenario.cluster.run(12);
+        assertEquals(6, scenario.in("a").size());
+        end(scenario.cluster, 300);
+    }
+
     /** Half of a zone cut off, however long, is a case of its own: suspect, never lost. */
     @Test
     void aPartOfAZoneIsNotCalledLost() {
