Admission by teams' shares: a cursor on a hash ring in place of a record of who waits; off without a setting

Need: a flood of one team starves every other one, wastes the state service's changes on refusals and stops the leader's own: with 60 submissions a second of team a, 10 of 70 submissions of the quiet team b were never accepted, 10,872 requests were refused by the state service and 96 jobs were done after 130 s (in memory, three controllers, 200 requests and 25 changes a second).

Change: core.admit, pure: capacity divided by weighted max-min fairness, token buckets with borrowing at each controller, and for a queue that is asked beyond its part a published schedule of a cursor that passes every id's place on a ring, so that every controller names the same turn and nothing is written for a refusal. Thin parts in node (the leader publishes, all watch), store (the table), peer (demand behind the last field of a frame), api, settings (section admission). Without the section as before.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -413,6 +413,101 @@
         public static final double STORE_S = 2;
     }
 
+    /** Admission of submissions by teams' shares when more is asked than the state service takes. */
+    public static final class Admission {
+        private Admission() {}
+
+        /** Milliseconds up to which turns are final: long enough for most to be told at once, as a pace changes only after. */
+        public static final long HORIZON_MS = 10_000;
+        /** Milliseconds for which a turn lasts: a whole second of rounding, three tries to connect, a lost answer. */
+        public static final long GRACE_MS = 6000;
+        /** Milliseconds of a schedule kept beyond that: clocks differ, and the table is published once a second. */
+        public static final long KEPT_MS = 2000;
+        /** Milliseconds between two plans; the table is as old at the most while a queue is limited. */
+        public static final int PLAN_MS = 1000;
+        /** Milliseconds after which a table limits nobody any more: its leader has ended, and so has the next one's start. */
+        public static final long TABLE_LIFE_MS = 30_000;
+        /** Milliseconds for which a table's capacity may be used beyond what the leader never needs. */
+        public static final long LENT_MS = 3000;
+        /** Seconds without a confirmation of the table before a controller decides nothing; watches are answered in ten. */
+        public static final double STALE_VIEW_S = 15;
+        /** The least of that which operators may set: a watch without news, and an answer on its way. */
+        public static final double STALE_VIEW_LEAST_S = 12;
+        /** The most of that which operators may set: users give up after as long. */
+        public static final double STALE_VIEW_MOST_S = 60;
+        /** Share of the stale view's time after which a controller reads the table itself. */
+        public static final double REREAD_SHARE = 0.8;
+        /** Seconds between two such readings. */
+        public static final double REREAD_S = 1;
+        /** Milliseconds between two openings of the watch: a table comes once a second. */
+        public static final int WATCH_PAUSE_MS = 200;
+        /** Share of the changes a second that submissions may cost while nothing is limited; the leader then needs little. */
+        public static final double OPEN_SHARE = 0.6;
+        /** Share of the changes a second that submissions may always cost: what the leader's flush never uses, less a margin. */
+        public static final double LEAST_SHARE = 0.23;
+        /** Share of the changes a second that is planned with; the rest is for elections, versions and notes. */
+        public static final double PLANNED_SHARE = 0.95;
+        /** What the leader is reckoned to need beyond what it has used lately, as a factor. */
+        public static final double LEADER_GROWTH = 1.15;
+        /** Changes that a job costs the leader at the least: its start, its live record's end and its final record. */
+        public static final double CHANGES_A_JOB = 3;
+        /** Share of all changes a second by which the lasting pace grows each second, while the leader leaves enough. */
+        public static final double GROWTH_SHARE = 0.004;
+        /** Times the lasting pace that the leader must leave for that. */
+        public static final double GROWTH_ROOM = 2;
+        /** Times its least value that the lasting pace grows to at the most. */
+        public static final double GROWTH_MOST = 2;
+        /** Milliseconds after its turn in which a submission is met for the first time; a repetition comes a second later. */
+        public static final long MET_MS = 1000;
+        /** Seconds over which the leader's changes are averaged. */
+        public static final double LEADER_MEMORY_S = 2;
+        /** Share of a queue's part at which its turns are aimed: arrivals at single controllers are uneven. */
+        public static final double TARGET_SHARE = 0.9;
+        /** Seconds' worth of its rate that a token bucket holds: the state service takes a second's worth at once. */
+        public static final double BURST_S = 1;
+        /** Tokens that a team's bucket holds at the least, so that two submissions at once are no flood. */
+        public static final double TEAM_BURST_LEAST = 2;
+        /**
+         * Seconds' worth of a controller's rate by which submissions whose turn has come may overdraw their team's bucket: the
+         * cursor sets their number already, and they come unevenly.
+         */
+        public static final double OVERDRAFT_S = 5;
+        /** Seconds over which rates are smoothed: two rounds of questions to the other controllers. */
+        public static final double RATE_MEMORY_S = 1.5;
+        /** Submissions a second below which a queue is not asked at all. */
+        public static final double IDLE_PER_S = 0.05;
+        /** Seconds for which a controller's counts hold; they come once a second. */
+        public static final double HEARD_S = 3.5;
+        /** Seconds' worth of submissions that wait when a flood is first noticed. */
+        public static final double ONSET_S = 2;
+        /** Seconds after which all controllers follow a new limit and have told what they counted under it. */
+        public static final double SETTLED_S = 3;
+        /** Seconds over which the submissions that a cursor meets are counted. */
+        public static final double ARRIVAL_MEMORY_S = 6;
+        /** Submissions that the first guess of their number counts as much as. */
+        public static final double ARRIVAL_CREDIT = 3;
+        /** Laps a second below which a restored cursor's pace tells nothing: one in three hours. */
+        public static final double SLOWEST_LAPS_PER_S = 1e-4;
+        /** Seconds after which users give up; from then on no more wait. */
+        public static final double PATIENCE_S = 60;
+        /** Share of what may be admitted below which a queue counts as asked for little. */
+        public static final double CONTENT_SHARE = 0.8;
+        /** Seconds for which that must last before it is open again. */
+        public static final double CONTENT_S = 5;
+        /** Queues that are counted and limited at the most, as users name job classes; more are held back by teams only. */
+        public static final int QUEUES_MOST = 64;
+        /** Seconds, the longest that users wait for one {@code Retry-After}. */
+        public static final int RETRY_MOST_S = 30;
+        /** Seconds over which answers of the longest time are spread. */
+        public static final int RETRY_SPREAD_S = 10;
+        /** Share of the time until a turn that may still move after which to ask again: it may come sooner than planned. */
+        public static final double LOOK_AGAIN_SHARE = 0.6;
+        /** Seconds over which submissions come back that were turned away before the leader heard of a flood. */
+        public static final int UNDECIDED_RETRY_S = 4;
+        /** Seconds over which submissions come back that met a controller with a stale view. */
+        public static final int STALE_RETRY_S = 2;
+    }
+
     // ---- users ------------------------------------------------------------------------------------------------
     /** Seconds that a user waits for an answer at the most; the protocol's figure for submissions. */
     public static final double USER_PATIENCE_S = 5;
--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -93,7 +93,7 @@
 
     private void send(HttpServerExchange exchange, UserAnswer answer) {
         int status = UserAnswerCodec.status(answer);
-        if (status == 429) {
+        if (answer instanceof UserAnswer.OverBudget) {
             node.metrics().overBudget();
         } else if (status == 503) {
             node.metrics().unserved();
--- a/src/main/java/org/mountlug/api/UserAnswer.java
+++ b/src/main/java/org/mountlug/api/UserAnswer.java
@@ -19,15 +19,21 @@
     /** The job can never run; {@code reason} says why. */
     record Unschedulable(String reason) implements UserAnswer {}
 
-    /** More is asked than can be served, come back in so many seconds. */
-    record Deferred(int retryAfterS) implements UserAnswer {}
+    /**
+     * Other submissions go first; come back in so many seconds, {@code turnIsFinal} if the submission will be admitted
+     * then, and otherwise to be told its turn.
+     */
+    record Deferred(int retryAfterS, boolean turnIsFinal) implements UserAnswer {}
+
+    /** This controller is asked for more than its part of the request budget, come back in so many seconds. */
+    record OverBudget(int retryAfterS) implements UserAnswer {}
 
     /** Nothing can be decided here and now, come back in so many seconds. */
     record Unavailable(int retryAfterS) implements UserAnswer {}
 
     /** Refuses a request beyond the request budget. */
     static UserAnswer overBudget() {
-        return new Deferred(Constants.RETRY_AFTER_S);
+        return new OverBudget(Constants.RETRY_AFTER_S);
     }
 
     /** Refuses a request that nothing can be said of at the moment. */
--- a/src/main/java/org/mountlug/api/UserAnswerCodec.java
+++ b/src/main/java/org/mountlug/api/UserAnswerCodec.java
@@ -24,7 +24,7 @@
         if (answer instanceof UserAnswer.Unschedulable) {
             return 422;
         }
-        return answer instanceof UserAnswer.Deferred ? 429 : 503;
+        return answer instanceof UserAnswer.Deferred || answer instanceof UserAnswer.OverBudget ? 429 : 503;
     }
 
     /** The body of an answer; empty if it has none. */
@@ -53,6 +53,9 @@
         if (answer instanceof UserAnswer.Deferred deferred) {
             return deferred.retryAfterS();
         }
+        if (answer instanceof UserAnswer.OverBudget overBudget) {
+            return overBudget.retryAfterS();
+        }
         return answer instanceof UserAnswer.Unavailable unavailable ? unavailable.retryAfterS() : 0;
     }
 
--- a/src/main/java/org/mountlug/api/Users.java
+++ b/src/main/java/org/mountlug/api/Users.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.mountlug.Constants;
+import org.mountlug.core.admit.AdmissionDecision;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.node.Controller;
 import org.mountlug.settings.Settings;
@@ -134,16 +135,37 @@
         if (answeredFromCache(jobId, reply)) {
             return;
         }
-        if (!state.takeSubmission()) {
-            reply.send(UserAnswer.overBudget());
-            return;
-        }
+        JobSpec spec;
         try {
-            create(check.job(fields, node.knownTypes(), epochMs.getAsLong()), reply);
+            spec = check.job(fields, node.knownTypes(), epochMs.getAsLong());
         } catch (SubmissionCheck.Rejected e) {
             LOG.debug("rejected {}: {}", jobId, e.getMessage());
-            // An accepted job stays accepted, whatever a repeated body looks like.
-            answerKnown(jobId, reply, e.answer());
+            answerRejected(jobId, e.answer(), reply);
+            return;
+        }
+        admit(spec, reply);
+    }
+
+    /** An accepted job stays accepted, whatever a repeated body looks like; only the look-up is taken from a budget. */
+    private void answerRejected(String jobId, UserAnswer answer, Reply reply) {
+        if (state.takeSubmission()) {
+            answerKnown(jobId, reply, answer);
+        } else {
+            reply.send(UserAnswer.overBudget());
+        }
+    }
+
+    private void admit(JobSpec spec, Reply reply) {
+        AdmissionDecision decision = node.admission().decide(spec);
+        if (decision instanceof AdmissionDecision.Admit) {
+            create(spec, reply);
+        } else if (decision instanceof AdmissionDecision.Defer defer) {
+            node.metrics().deferred(spec.team());
+            reply.send(new UserAnswer.Deferred(defer.retryAfterS(), defer.isFinal()));
+        } else if (decision instanceof AdmissionDecision.Undecided undecided) {
+            reply.send(new UserAnswer.Unavailable(undecided.retryAfterS()));
+        } else {
+            reply.send(UserAnswer.overBudget());
         }
     }
 
@@ -188,7 +210,7 @@
             reply.send(UserAnswer.unavailable());
             return;
         }
-        if (!state.takeSubmission()) {
+        if (!node.admission().takeCancellation()) {
             reply.send(UserAnswer.overBudget());
             return;
         }
--- /dev/null
+++ b/src/main/java/org/mountlug/core/admit/DemandMeter.java
@@ -0,0 +1,54 @@
+package org.mountlug.core.admit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mountlug.Constants;
+
+/** Counts submissions by queue. Of the queues not asked for longest none is kept beyond a bound, as users name classes. */
+final class DemandMeter {
+    private static final class Counter {
+        int asked;
+        int met;
+        int refused;
+
+        QueueDemand of(QueueId queue) {
+            return new QueueDemand(queue, asked, met, refused);
+        }
+    }
+
+    private final Map<QueueId, Counter> counters = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<QueueId, Counter> eldest) {
+            return size() > Constants.Admission.QUEUES_MOST;
+        }
+    };
+
+    private Counter counter(QueueId queue) {
+        return counters.computeIfAbsent(queue, unseen -> new Counter());
+    }
+
+    void asked(QueueId queue) {
+        counter(queue).asked++;
+    }
+
+    void met(QueueId queue) {
+        counter(queue).met++;
+    }
+
+    void refused(QueueId queue) {
+        counter(queue).refused++;
+    }
+
+    /** The counts of all queues, the busiest first. */
+    List<QueueDemand> counts() {
+        List<QueueDemand> counts = new ArrayList<>();
+        counters.forEach((queue, counter) -> counts.add(counter.of(queue)));
+        counts.sort(Comparator.comparingInt(QueueDemand::asked).reversed().thenComparing(QueueDemand::queue));
+        return counts;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mountlug/core/admit/HashRing.java
@@ -0,0 +1,24 @@
+package org.mountlug.core.admit;
+
+import it.unimi.dsi.fastutil.HashCommon;
+
+/**
+ * The ring on which submissions have their places. A place depends on the job's id alone, so it is the same at every
+ * controller and for every repetition.
+ */
+public final class HashRing {
+    /** Places on the ring. */
+    public static final int LAP = 1_000_000;
+
+    private HashRing() {}
+
+    /** The place of a job, from 0 to below {@link #LAP}. */
+    public static int place(String jobId) {
+        return (int) Math.floorMod(HashCommon.murmurHash3((long) jobId.hashCode()), (long) LAP);
+    }
+
+    /** A number from 0 to below {@code bound}, the same for the same job, by which answers are spread in time. */
+    public static int spread(String jobId, int bound) {
+        return (int) Math.floorMod(HashCommon.murmurHash3(~(long) jobId.hashCode()), (long) bound);
+    }
+}
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -58,6 +58,7 @@
     private final ReportCount reports;
     private final StoredReportCounts storedCounts;
     private final OverloadLog overload = new OverloadLog();
+    private final AdmissionControl admission;
     /** The revision of the leader key that was last seen, and since when, in steady seconds. */
     private long leaderStamp = -1;
 
@@ -83,6 +84,9 @@
         this.startedS = clockS.getAsDouble();
         this.lastTurnS = startedS;
         this.reservations = new ReservationWatch(state, metrics);
+        this.admission = environment.operators().admission().enabled()
+                ? new FairAdmission(environment)
+                : new RequestBudgetAdmission(state);
         this.versions = new VersionAnnouncement(state, settings.label());
         this.storedCounts = new StoredReportCounts(state, settings.label());
         this.reports = new ReportCount(Constants.REPORTS_INTERVALS * settings.reportS());
@@ -134,6 +138,7 @@
         lead();
         watchLeader();
         versions.announce(clockS.getAsDouble());
+        admission.tick(clockS.getAsDouble());
         if (!election.leading() && election.leader() != null) {
             reservations.watch(clockS.getAsDouble());
         }
@@ -328,7 +333,8 @@
                     types.values(),
                     finals,
                     metrics,
-                    () -> peerView.reportsElsewhere(clockS.getAsDouble()));
+                    () -> peerView.reportsElsewhere(clockS.getAsDouble()),
+                    admission);
             metrics.leading(true);
         }
     }
@@ -361,7 +367,14 @@
     public PeerCodec.Answer tellPeer(long serial) {
         double now = clockS.getAsDouble();
         return new PeerCodec.Answer(
-                serial, boot, state.served(), knownToken(), reports.lately(now), false, peerView.aborts(now));
+                serial,
+                boot,
+                state.served(),
+                knownToken(),
+                reports.lately(now),
+                false,
+                peerView.aborts(now),
+                admission.demand());
     }
 
     private long knownToken() {
@@ -380,6 +393,7 @@
             election.depose();
             return;
         }
+        leader.demand(label, h.answer().boot(), h.answer().demand());
         LiveRecords records = leader.records();
         for (String id : h.answer().aborts()) {
             records.cancellationNoticed(id);
@@ -447,6 +461,11 @@
         return types;
     }
 
+    /** How submissions are admitted here. */
+    public AdmissionControl admission() {
+        return admission;
+    }
+
     /** The meters of this controller. */
     public Metrics metrics() {
         return metrics;
--- /dev/null
+++ b/src/main/java/org/mountlug/node/FairAdmission.java
@@ -0,0 +1,81 @@
+package org.mountlug.node;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mountlug.core.admit.AdmissionDecision;
+import org.mountlug.core.admit.AdmissionGate;
+import org.mountlug.core.admit.QueueDemand;
+import org.mountlug.core.admit.QueueId;
+import org.mountlug.core.model.JobSpec;
+import org.mountlug.core.model.Team;
+import org.mountlug.settings.Operators;
+import org.mountlug.settings.Settings;
+import org.mountlug.store.StateClient;
+
+/** Admits submissions by the table that the leader publishes, see {@link AdmissionGate}. */
+final class FairAdmission implements AdmissionControl {
+    private final Environment environment;
+    private final StateClient state;
+    private final AdmissionGate gate;
+    private final AdmissionWatch watch;
+
+    FairAdmission(Environment environment) {
+        this.environment = environment;
+        state = environment.state();
+        Settings settings = environment.settings();
+        AdmissionGate.Deployment deployment = new AdmissionGate.Deployment(
+                weights(settings, environment.operators()),
+                settings.others().size() + 1,
+                settings.stateWriteRps(),
+                settings.skewMs());
+        gate = new AdmissionGate(environment.operators().admission(), deployment);
+        watch = new AdmissionWatch(environment, gate);
+    }
+
+    /** The weight of each team's queue, as operators set it. */
+    static Map<String, Double> weights(Settings settings, Operators operators) {
+        Map<String, Double> weights = new HashMap<>();
+        for (Team team : settings.teams()) {
+            weights.put(team.name(), operators.share(team.name()));
+        }
+        return weights;
+    }
+
+    @Override
+    public AdmissionDecision decide(JobSpec spec) {
+        QueueId queue = new QueueId(spec.team(), spec.lane());
+        AdmissionDecision decision = gate.decide(queue, spec.id(), nowMs(), nowS());
+        if (decision instanceof AdmissionDecision.Admit) {
+            state.spendRequest();
+        }
+        return decision;
+    }
+
+    @Override
+    public boolean takeCancellation() {
+        boolean taken = state.takeSubmission();
+        if (taken) {
+            gate.spendForCancellation(nowMs(), nowS());
+        }
+        return taken;
+    }
+
+    @Override
+    public List<QueueDemand> demand() {
+        return gate.demand();
+    }
+
+    @Override
+    public void tick(double nowS) {
+        watch.tick(nowS);
+    }
+
+    private long nowMs() {
+        return environment.epochMs().getAsLong();
+    }
+
+    private double nowS() {
+        return environment.clockS().getAsDouble();
+    }
+}
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.IntSupplier;
 import org.mountlug.Constants;
+import org.mountlug.core.admit.QueueDemand;
 import org.mountlug.core.allocate.Allocator;
 import org.mountlug.core.allocate.ReplicaTimes;
 import org.mountlug.core.cluster.Cluster;
@@ -60,6 +61,7 @@
     private final RecordWriter writer;
     private final DirectCommands commands;
     private final CloudFleet fleet;
+    private final AdmissionPublisher admission;
     private final double beganS;
     private boolean loaded;
     private double nextRoundS;
@@ -74,7 +76,8 @@
             Collection<MachineType> types,
             FinalStates finals,
             Metrics metrics,
-            IntSupplier reportsElsewhere) {
+            IntSupplier reportsElsewhere,
+            AdmissionControl admission) {
         this.reportsElsewhere = reportsElsewhere;
         this.aims = aims;
         this.metrics = metrics;
@@ -110,9 +113,15 @@
         });
         commands = new DirectCommands(term);
         fleet = new CloudFleet(term, scaler, writes, metrics);
+        this.admission = new AdmissionPublisher(term, writes, admission);
         records.start();
     }
 
+    /** Takes in what another controller was asked to take in; {@code boot} names its process. */
+    void demand(String controller, long boot, List<QueueDemand> demand) {
+        admission.observe(controller, boot, demand);
+    }
+
     /** Seconds since this term began. */
     double termS() {
         return term.nowS() - beganS;
@@ -266,6 +275,7 @@
         commands.send(now);
         images.tick(now);
         zoneStore.tick(now);
+        admission.tick(now);
         writer.tick(now);
     }
 
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -7,6 +7,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.ToDoubleFunction;
@@ -24,6 +26,7 @@
     private final AtomicLong beats = new AtomicLong();
     private final AtomicLong submissions = new AtomicLong();
     private final AtomicLong overBudget = new AtomicLong();
+    private final Map<String, AtomicLong> deferredByTeam = new ConcurrentHashMap<>();
     private final AtomicLong unserved = new AtomicLong();
     private final AtomicLong unanswered = new AtomicLong();
     private final AtomicLong standstills = new AtomicLong();
@@ -35,6 +38,7 @@
     private PrometheusMeterRegistry registry;
     private MultiGauge zoneStates;
     private MultiGauge zoneWindows;
+    private MultiGauge deferrals;
 
     /** Counts tasks that a round has placed. */
     public void placed(int n) {
@@ -66,6 +70,11 @@
         return overBudget.get();
     }
 
+    /** Counts a submission of a team that was deferred, as others go first; only teams of the settings submit. */
+    public void deferred(String team) {
+        deferredByTeam.computeIfAbsent(team, unseen -> new AtomicLong()).incrementAndGet();
+    }
+
     /** Counts a request of a user that could not be served. */
     public void unserved() {
         unserved.incrementAndGet();
@@ -131,11 +140,15 @@
             Gauge.builder("mountlug.reservations", reservations, AtomicInteger::get)
                     .register(registry);
             zoneStates = MultiGauge.builder("mountlug.zone.state").register(registry);
+            deferrals = MultiGauge.builder("mountlug.submissions.deferred").register(registry);
             zoneWindows = MultiGauge.builder("mountlug.zone.ramp.starts").register(registry);
             Gauge.builder("mountlug.leading", leading, AtomicInteger::get).register(registry);
         }
         zoneStates.register(rows(zone -> zone.state().ordinal()), true);
         zoneWindows.register(rows(ZoneStatus::window), true);
+        List<MultiGauge.Row<?>> teams = new ArrayList<>();
+        deferredByTeam.forEach((team, count) -> teams.add(MultiGauge.Row.of(Tags.of("team", team), count)));
+        deferrals.register(teams, true);
         return registry.scrape();
     }
 
--- a/src/main/java/org/mountlug/peer/PeerCodec.java
+++ b/src/main/java/org/mountlug/peer/PeerCodec.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.mountlug.core.admit.QueueDemand;
+import org.mountlug.core.admit.QueueId;
 
 /**
  * Frames between controllers, written by hand into a {@link ByteBuffer}: a length, then a question (its serial) or an
@@ -14,14 +16,38 @@
     public static final int FRAME_MAX = 4096;
     /** Bytes of the longest id that fits; a longer one is told as an overflow. */
     private static final int ID_MAX = 127;
+    /** Bytes of the longest name of a team or class that is told. */
+    private static final int NAME_MAX = 255;
+    /** Bytes of a queue's demand beside its names: their lengths and three counts. */
+    private static final int DEMAND_FIXED_BYTES = 2 + 3 * Integer.BYTES;
 
     /**
      * What a node tells of itself. {@code boot} names the process, {@code served} whether the state service serves it,
      * {@code token} the highest leader's token it knows, {@code aborts} every abort it has lately told a user of, unless
-     * {@code overflow}, {@code reports} how many workers' reports have lately come to it.
+     * {@code overflow}, {@code reports} how many workers' reports have lately come to it, {@code demand} what it was asked to
+     * take in, the busiest queues only if not all fit.
      */
     public record Answer(
-            long serial, long boot, boolean served, long token, int reports, boolean overflow, List<String> aborts) {}
+            long serial,
+            long boot,
+            boolean served,
+            long token,
+            int reports,
+            boolean overflow,
+            List<String> aborts,
+            List<QueueDemand> demand) {
+        /** An answer that tells nothing of demand. */
+        public Answer(
+                long serial,
+                long boot,
+                boolean served,
+                long token,
+                int reports,
+                boolean overflow,
+                List<String> aborts) {
+            this(serial, boot, served, token, reports, overflow, aborts, List.of());
+        }
+    }
 
     private PeerCodec() {}
 
@@ -53,10 +79,40 @@
             n++;
         }
         b.put(counted, (byte) (a.overflow() || n < a.aborts().size() ? 1 : 0)).putShort(counted + 1, (short) n);
+        putDemand(b, a.demand());
         b.putInt(0, b.position() - 4);
         return b.flip();
     }
 
+    /** Demand comes last, in what room is left: older versions read no further than the list of ids. */
+    private static void putDemand(ByteBuffer frame, List<QueueDemand> demand) {
+        for (QueueDemand counted : demand) {
+            byte[] team = counted.queue().team().getBytes(StandardCharsets.UTF_8);
+            byte[] jobClass = counted.queue().jobClass().getBytes(StandardCharsets.UTF_8);
+            int bytes = DEMAND_FIXED_BYTES + team.length + jobClass.length;
+            if (team.length > NAME_MAX || jobClass.length > NAME_MAX || frame.remaining() < bytes) {
+                continue;
+            }
+            frame.put((byte) team.length).put(team).put((byte) jobClass.length).put(jobClass);
+            frame.putInt(counted.asked()).putInt(counted.met()).putInt(counted.refused());
+        }
+    }
+
+    private static List<QueueDemand> demand(ByteBuffer frame) {
+        List<QueueDemand> demand = new ArrayList<>();
+        while (frame.remaining() >= DEMAND_FIXED_BYTES) {
+            QueueId queue = new QueueId(name(frame), name(frame));
+            demand.add(new QueueDemand(queue, frame.getInt(), frame.getInt(), frame.getInt()));
+        }
+        return demand;
+    }
+
+    private static String name(ByteBuffer frame) {
+        byte[] name = new byte[frame.get() & 0xff];
+        frame.get(name);
+        return new String(name, StandardCharsets.UTF_8);
+    }
+
     /** The next whole frame's payload, or null if more bytes are needed; throws on a frame that cannot be ours. */
     public static ByteBuffer next(ByteBuffer in) {
         if (in.remaining() < 4) {
@@ -89,6 +145,6 @@
             f.get(id);
             ids.add(new String(id, StandardCharsets.US_ASCII));
         }
-        return new Answer(serial, boot, served, token, reports, overflow, ids);
+        return new Answer(serial, boot, served, token, reports, overflow, ids, demand(f));
     }
 }
--- /dev/null
+++ b/src/main/java/org/mountlug/settings/AdmissionSettingsReader.java
@@ -0,0 +1,36 @@
+package org.mountlug.settings;
+
+import java.util.Map;
+import java.util.Set;
+import org.mountlug.Constants;
+import org.mountlug.core.admit.AdmissionSettings;
+import org.mountlug.wire.Fields;
+
+/** Reads and checks the operators' {@code admission} section. */
+final class AdmissionSettingsReader {
+    private static final String SECTION = "admission";
+    private static final String ENABLED = "enabled";
+    private static final String STALE_VIEW_S = "stale_view_s";
+
+    private AdmissionSettingsReader() {}
+
+    /** Reads the section; without one, each controller's request budget alone decides. */
+    static AdmissionSettings read(Object section) throws Settings.Invalid {
+        if (section == null) {
+            return AdmissionSettings.disabled();
+        }
+        OperatorFields fields = OperatorFields.of(SECTION, section, Set.of(ENABLED, STALE_VIEW_S));
+        return new AdmissionSettings(
+                fields.yesOrNo(ENABLED, true),
+                fields.number(
+                        STALE_VIEW_S,
+                        Constants.Admission.STALE_VIEW_LEAST_S,
+                        Constants.Admission.STALE_VIEW_MOST_S,
+                        Constants.Admission.STALE_VIEW_S));
+    }
+
+    /** The section as it is in force, for operators to read. */
+    static Map<String, Object> inForce(AdmissionSettings admission) {
+        return Fields.ordered(ENABLED, admission.enabled(), STALE_VIEW_S, admission.staleViewS());
+    }
+}
--- a/src/main/java/org/mountlug/settings/Operators.java
+++ b/src/main/java/org/mountlug/settings/Operators.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.mountlug.Constants;
+import org.mountlug.core.admit.AdmissionSettings;
 import org.mountlug.core.zone.ZoneSettings;
 import org.mountlug.wire.Fields;
 import org.snakeyaml.engine.v2.api.Load;
@@ -20,19 +21,40 @@
  * a person's typing mistake, not a newer platform. {@code operators.schema.json} describes the same file for editors.
  */
 public record Operators(
-        Map<String, Double> shares, boolean logTimes, double idleKeepS, double spotRisk, ZoneSettings zones) {
-    private static final Set<String> KNOWN = Set.of("shares", "log", "machines", "zones");
+        Map<String, Double> shares,
+        boolean logTimes,
+        double idleKeepS,
+        double spotRisk,
+        ZoneSettings zones,
+        AdmissionSettings admission) {
+    private static final Set<String> KNOWN = Set.of("shares", "log", "machines", "zones", "admission");
     private static final double IDLE_KEEP_MOST_S = 3600;
     private static final double SPOT_RISK_MOST = 100;
 
     /** The settings without a file. */
     public static Operators defaults() {
-        return new Operators(Map.of(), false, Constants.IDLE_KEEP_S, Constants.SPOT_RISK, ZoneSettings.disabled());
+        return new Operators(
+                Map.of(),
+                false,
+                Constants.IDLE_KEEP_S,
+                Constants.SPOT_RISK,
+                ZoneSettings.disabled(),
+                AdmissionSettings.disabled());
     }
 
     /** The same settings with others of zones. */
     public Operators with(ZoneSettings zones) {
-        return new Operators(shares, logTimes, idleKeepS, spotRisk, zones);
+        return new Operators(shares, logTimes, idleKeepS, spotRisk, zones, admission);
+    }
+
+    /** The same settings with others of admission. */
+    public Operators with(AdmissionSettings admission) {
+        return new Operators(shares, logTimes, idleKeepS, spotRisk, zones, admission);
+    }
+
+    /** The same settings with other weights of the teams' queues. */
+    public Operators with(Map<String, Double> shares) {
+        return new Operators(shares, logTimes, idleKeepS, spotRisk, zones, admission);
     }
 
     /** The weight of a team's queue. */
@@ -65,7 +87,8 @@
                 log.word("format", "plain", "timed").equals("timed"),
                 machines.number("idle_keep_s", 0, IDLE_KEEP_MOST_S, Constants.IDLE_KEEP_S),
                 machines.number("spot_risk", 1, SPOT_RISK_MOST, Constants.SPOT_RISK),
-                ZoneSettingsReader.read(root.value("zones")));
+                ZoneSettingsReader.read(root.value("zones")),
+                AdmissionSettingsReader.read(root.value("admission")));
     }
 
     private static OperatorFields section(OperatorFields root, String name, Set<String> known) throws Settings.Invalid {
@@ -107,6 +130,8 @@
         lines.add("machines.idle_keep_s = " + idleKeepS);
         lines.add("machines.spot_risk = " + spotRisk);
         ZoneSettingsReader.inForce(zones).forEach((field, value) -> lines.add("zones." + field + " = " + value));
+        AdmissionSettingsReader.inForce(admission)
+                .forEach((field, value) -> lines.add("admission." + field + " = " + value));
         return lines;
     }
 }
--- a/src/main/java/org/mountlug/store/Budget.java
+++ b/src/main/java/org/mountlug/store/Budget.java
@@ -6,6 +6,7 @@
     private final double most;
     private double level;
     private double atS = Double.NaN;
+    private double taken;
 
     /** A full bucket that gains {@code perS} a second and holds {@code most}. */
     public Budget(double perS, double most) {
@@ -29,11 +30,18 @@
             return false;
         }
         level -= n;
+        taken += n;
         return true;
     }
 
     /** Takes so much, even if there is less; the debt is never more than a full bucket. */
     public synchronized void spend(double nowS, double n) {
         level = Math.max(-most, level(nowS) - n);
+        taken += n;
+    }
+
+    /** How much has been taken and spent since the beginning. */
+    public synchronized double taken() {
+        return taken;
     }
 }
--- a/src/main/java/org/mountlug/store/StateKeys.java
+++ b/src/main/java/org/mountlug/store/StateKeys.java
@@ -25,6 +25,9 @@
     /** The zones' state, which production does not know. */
     public static final String ZONES = "zones";
 
+    /** The admission table, by number of its record, which production does not know. */
+    public static final String ADMISSION = "admission/";
+
     private StateKeys() {}
 
     /** The key of a note of images. */
--- a/src/test/java/org/mountlug/peer/PeerTest.java
+++ b/src/test/java/org/mountlug/peer/PeerTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.mountlug.core.admit.QueueDemand;
+import org.mountlug.core.admit.QueueId;
 
 /** Frames, and what the peers' answers prove to a leader that the state service does not serve. */
 class PeerTest {
@@ -23,6 +25,12 @@
     @Test
     void framesSurviveAndArriveInPieces() {
         PeerCodec.Answer a = new PeerCodec.Answer(5, -9, true, 77, 968, false, List.of("wk-000001", "wk-123456"));
+        assertEquals(
+                List.of(), PeerCodec.answer(PeerCodec.next(PeerCodec.answer(a))).demand());
+        List<QueueDemand> demand = List.of(
+                new QueueDemand(new QueueId("warband", "balance-sim"), 70_000, 400, 3),
+                new QueueDemand(new QueueId("körförbundet", "n".repeat(200)), 1, 1, 0));
+        a = new PeerCodec.Answer(5, -9, true, 77, 968, false, a.aborts(), demand);
         ByteBuffer whole = PeerCodec.answer(a);
         ByteBuffer part = whole.duplicate().limit(10);
         assertNull(PeerCodec.next(part));
