--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -427,8 +427,6 @@
         public static final int PLAN_MS = 1000;
         /** Milliseconds after which a table limits nobody any more: its leader has ended, and so has the next one's start. */
         public static final long TABLE_LIFE_MS = 30_000;
-        /** Milliseconds for which a table's capacity may be used beyond what the leader never needs. */
-        public static final long LENT_MS = 3000;
         /** Seconds without a confirmation of the table before a controller decides nothing; watches are answered in ten. */
         public static final double STALE_VIEW_S = 15;
         /** The least of that which operators may set: a watch without news, and an answer on its way. */
@@ -456,7 +454,7 @@
         /** Times the lasting pace that the leader must leave for that. */
         public static final double GROWTH_ROOM = 2;
         /** Times its least value that the lasting pace grows to at the most. */
-        public static final double GROWTH_MOST = 2;
+        public static final double GROWTH_MOST = 1.5;
         /** Milliseconds after its turn in which a submission is met for the first time; a repetition comes a second later. */
         public static final long MET_MS = 1000;
         /** Seconds over which the leader's changes are averaged. */
@@ -471,7 +469,7 @@
          * Seconds' worth of a controller's rate by which submissions whose turn has come may overdraw their team's bucket: the
          * cursor sets their number already, and they come unevenly.
          */
-        public static final double OVERDRAFT_S = 5;
+        public static final double OVERDRAFT_S = 10;
         /** Seconds over which rates are smoothed: two rounds of questions to the other controllers. */
         public static final double RATE_MEMORY_S = 1.5;
         /** Submissions a second below which a queue is not asked at all. */
@@ -480,8 +478,8 @@
         public static final double HEARD_S = 3.5;
         /** Seconds' worth of submissions that wait when a flood is first noticed. */
         public static final double ONSET_S = 2;
-        /** Seconds after which all controllers follow a new limit and have told what they counted under it. */
-        public static final double SETTLED_S = 3;
+        /** Milliseconds after which all controllers follow a new limit, and have told a new leader what they counted. */
+        public static final long SETTLED_MS = 3000;
         /** Seconds over which the submissions that a cursor meets are counted. */
         public static final double ARRIVAL_MEMORY_S = 6;
         /** Submissions that the first guess of their number counts as much as. */
@@ -492,8 +490,8 @@
         public static final double PATIENCE_S = 60;
         /** Share of what may be admitted below which a queue counts as asked for little. */
         public static final double CONTENT_SHARE = 0.8;
-        /** Seconds for which that must last before it is open again. */
-        public static final double CONTENT_S = 5;
+        /** Milliseconds for which that must last before it is open again. */
+        public static final long CONTENT_MS = 5000;
         /** Queues that are counted and limited at the most, as users name job classes; more are held back by teams only. */
         public static final int QUEUES_MOST = 64;
         /** Seconds, the longest that users wait for one {@code Retry-After}. */
@@ -502,6 +500,10 @@
         public static final int RETRY_SPREAD_S = 10;
         /** Share of the time until a turn that may still move after which to ask again: it may come sooner than planned. */
         public static final double LOOK_AGAIN_SHARE = 0.6;
+        /** Seconds after which those come back in the mean. */
+        public static final double UNDECIDED_MEAN_S = 2.5;
+        /** Seconds in which a queue that is not limited would take in all who come back; longer, and it is limited. */
+        public static final double DRAIN_S = 10;
         /** Seconds over which submissions come back that were turned away before the leader heard of a flood. */
         public static final int UNDECIDED_RETRY_S = 4;
         /** Seconds over which submissions come back that met a controller with a stale view. */
--- a/src/main/java/org/mountlug/core/admit/AdmissionGate.java
+++ b/src/main/java/org/mountlug/core/admit/AdmissionGate.java
@@ -82,11 +82,10 @@
         double ratePerS = ratePerS(nowMs);
         buckets.fill(ratePerS, nowS);
         double overdraft = schedule == null ? 0 : ratePerS * Constants.Admission.OVERDRAFT_S;
-        boolean taken = buckets.take(queue.team(), overdraft);
-        if (taken || schedule == null || metJustNow(schedule, jobId, nowMs)) {
+        if (schedule == null || metJustNow(schedule, jobId, nowMs)) {
             meter.met(queue);
         }
-        if (taken) {
+        if (buckets.take(queue.team(), overdraft)) {
             return new AdmissionDecision.Admit();
         }
         meter.refused(queue);
@@ -111,8 +110,8 @@
     }
 
     /** Whether the turn came so lately that nobody can have been turned away at it and be back already. */
-    private static boolean metJustNow(CursorSchedule schedule, String jobId, long nowMs) {
-        return schedule.passes(HashRing.place(jobId), nowMs - Constants.Admission.MET_MS, nowMs);
+    private boolean metJustNow(CursorSchedule schedule, String jobId, long nowMs) {
+        return schedule.passes(HashRing.place(jobId), nowMs - Constants.Admission.MET_MS, nowMs + skewMs());
     }
 
     private AdmissionDecision defer(CursorSchedule schedule, String jobId, long nowMs) {
@@ -138,13 +137,11 @@
         return deployment.changesPerS() * Constants.Admission.OPEN_SHARE / deployment.controllers();
     }
 
-    /** Changes a second that this controller may cost; what the leader lends counts only while it is told so. */
+    /** Changes a second that this controller may cost. */
     private double ratePerS(long nowMs) {
         if (!table.limits(nowMs)) {
             return openRatePerS();
         }
-        double least = deployment.changesPerS() * Constants.Admission.LEAST_SHARE;
-        boolean fresh = nowMs - table.issuedMs() <= Constants.Admission.LENT_MS;
-        return (fresh ? Math.max(least, table.capacityPerS()) : least) / deployment.controllers();
+        return table.capacityPerS() / deployment.controllers();
     }
 }
--- a/src/main/java/org/mountlug/core/admit/AdmissionPlanner.java
+++ b/src/main/java/org/mountlug/core/admit/AdmissionPlanner.java
@@ -25,6 +25,7 @@
     private final Map<String, Counts> heard = new HashMap<>();
     private final Map<QueueId, QueueRates> rates = new TreeMap<>();
     private final Map<QueueId, LimitedQueue> limited = new TreeMap<>();
+    private final Map<QueueId, LimitedQueue> released = new HashMap<>();
     private final List<TeamTransition> transitions = new ArrayList<>();
     private long plannedMs = -1;
 
@@ -40,13 +41,13 @@
     }
 
     /** Goes on with the table of an earlier leader: its schedules are kept, as turns were told by them. */
-    public void restore(AdmissionTable table, long nowMs, double nowS) {
+    public void restore(AdmissionTable table, long nowMs) {
         if (!table.limits(nowMs)) {
             return;
         }
         double admittedPerS = table.capacityPerS() / table.schedules().size();
         table.schedules().forEach((queue, schedule) -> {
-            limited.put(queue, LimitedQueue.restored(schedule, admittedPerS, nowS));
+            limited.put(queue, LimitedQueue.restored(schedule, admittedPerS, nowMs));
             rates.put(queue, new QueueRates());
         });
     }
@@ -74,12 +75,12 @@
         Map<QueueId, Double> parts = parts(budget.lastingPerS());
         Set<String> before = deferredTeams();
         for (Map.Entry<QueueId, QueueRates> entry : rates.entrySet()) {
-            plan(entry.getKey(), entry.getValue(), parts.get(entry.getKey()), nowMs, nowS);
+            plan(entry.getKey(), entry.getValue(), parts.get(entry.getKey()), nowMs);
         }
         noteTransitions(before, parts);
         Map<QueueId, CursorSchedule> schedules = new HashMap<>();
         limited.forEach((queue, limit) -> schedules.put(queue, limit.schedule()));
-        return new AdmissionTable(nowMs, budget.lastingPerS(), schedules);
+        return new AdmissionTable(nowMs, budget.capacityPerS(), schedules);
     }
 
     /** Teams that began or ceased to have submissions deferred since the last call. */
@@ -101,7 +102,7 @@
         rates.values().forEach(queue -> queue.close(factor, elapsedS));
         rates.entrySet().removeIf(entry -> entry.getValue().idle() && !limited.containsKey(entry.getKey()));
         limited.forEach((queue, limit) -> {
-            limit.observe(rates.get(queue).met(), fromMs, nowMs, nowS);
+            limit.observe(rates.get(queue).met(), fromMs, nowMs);
         });
     }
 
@@ -119,22 +120,34 @@
         return parts;
     }
 
-    private void plan(QueueId queue, QueueRates rate, double partPerS, long nowMs, double nowS) {
+    private void plan(QueueId queue, QueueRates rate, double partPerS, long nowMs) {
         LimitedQueue limit = limited.get(queue);
         double askedPerS = rate.askedPerS();
         double admittedPerS = partPerS * Constants.Admission.TARGET_SHARE;
         if (limit == null) {
-            boolean flooded = rate.refusedTwice() && askedPerS > partPerS;
+            double drainS = askedPerS * Constants.Admission.UNDECIDED_MEAN_S / partPerS;
+            boolean flooded = rate.refusedTwice() && askedPerS > partPerS && drainS > Constants.Admission.DRAIN_S;
             if (flooded && limited.size() < Constants.Admission.QUEUES_MOST) {
-                limited.put(queue, LimitedQueue.starting(admittedPerS, rate.latestAskedPerS(), nowMs, nowS));
+                limited.put(queue, limitAnew(queue, admittedPerS, rate.latestAskedPerS(), nowMs));
             }
-        } else if (limit.content(admittedPerS, askedPerS, nowS)) {
-            limited.remove(queue);
+        } else if (limit.content(admittedPerS, askedPerS, nowMs)) {
+            released.put(queue, limited.remove(queue));
         } else {
-            limit.extend(admittedPerS, askedPerS, nowMs, nowS);
+            limit.extend(admittedPerS, askedPerS, nowMs);
         }
     }
 
+    /** A queue that was limited until lately goes on with its schedule, as some were told turns that are still to come. */
+    private LimitedQueue limitAnew(QueueId queue, double admittedPerS, double askedPerS, long nowMs) {
+        released.values().removeIf(earlier -> earlier.schedule().endMs() < nowMs);
+        LimitedQueue earlier = released.remove(queue);
+        if (earlier == null) {
+            return LimitedQueue.starting(admittedPerS, askedPerS, nowMs);
+        }
+        earlier.extend(admittedPerS, askedPerS, nowMs);
+        return earlier;
+    }
+
     private Set<String> deferredTeams() {
         Set<String> teams = new TreeSet<>();
         limited.keySet().forEach(queue -> teams.add(queue.team()));
--- a/src/main/java/org/mountlug/core/admit/ChangeBudget.java
+++ b/src/main/java/org/mountlug/core/admit/ChangeBudget.java
@@ -14,6 +14,8 @@
     private double observedS = Double.NaN;
     private double neededPerS;
     private double lastingPerS;
+    private double capacityPerS;
+    private double heldUntilS = Double.NEGATIVE_INFINITY;
 
     /**
      * A budget of which nothing has been used yet.
@@ -25,6 +27,7 @@
         this.changesPerS = changesPerS;
         this.leaderMostPerS = leaderMostPerS;
         lastingPerS = leastLastingPerS();
+        capacityPerS = lastingPerS;
     }
 
     /**
@@ -42,8 +45,30 @@
             lastingPerS = limiting ? Math.max(leastLastingPerS(), leftPerS()) : leastLastingPerS();
         } else if (leftPerS() > lastingPerS * Constants.Admission.GROWTH_ROOM) {
             double grown = lastingPerS + changesPerS * Constants.Admission.GROWTH_SHARE * elapsedS;
-            lastingPerS = Math.min(grown, leastLastingPerS() * Constants.Admission.GROWTH_MOST);
+            lastingPerS = Math.min(grown, mostLastingPerS());
         }
+        holdCapacity(nowS);
+    }
+
+    /** Goes on with the capacity that an earlier leader published. */
+    public void restore(double publishedPerS, double nowS) {
+        lastingPerS = Math.max(leastLastingPerS(), Math.min(publishedPerS, mostLastingPerS()));
+        holdCapacity(nowS);
+    }
+
+    /** Turns that were told at the pace of a moment ago are still to come. */
+    private void holdCapacity(double nowS) {
+        if (lastingPerS >= capacityPerS) {
+            heldUntilS = nowS + Constants.Admission.HORIZON_MS / 1000.0;
+            capacityPerS = lastingPerS;
+        } else if (nowS >= heldUntilS) {
+            capacityPerS = lastingPerS;
+        }
+    }
+
+    /** Changes a second that submissions may cost at the moment: at the lasting pace, and at that of the turns to come. */
+    public double capacityPerS() {
+        return capacityPerS;
     }
 
     /** Changes a second that the leader leaves at the moment, and never less than what it leaves at the most. */
@@ -59,6 +84,10 @@
         return lastingPerS;
     }
 
+    private double mostLastingPerS() {
+        return leastLastingPerS() * Constants.Admission.GROWTH_MOST;
+    }
+
     private double leastLastingPerS() {
         return changesPerS * Constants.Admission.PLANNED_SHARE / (1 + Constants.Admission.CHANGES_A_JOB);
     }
--- a/src/main/java/org/mountlug/core/admit/CursorSchedule.java
+++ b/src/main/java/org/mountlug/core/admit/CursorSchedule.java
@@ -15,10 +15,12 @@
     /** The time of a turn that never comes, as the cursor stands still. */
     public static final long NEVER = Long.MAX_VALUE;
 
+    private final long startedMs;
     private final long firstStep;
     private final long[] positions;
 
-    private CursorSchedule(long firstStep, long[] positions) {
+    private CursorSchedule(long startedMs, long firstStep, long[] positions) {
+        this.startedMs = startedMs;
         this.firstStep = firstStep;
         this.positions = positions;
     }
@@ -37,11 +39,11 @@
         for (int i = 0; i < advances.length; i++) {
             positions[i + 1] = positions[i] + Math.max(0, advances[i]);
         }
-        return new CursorSchedule(Math.floorDiv(nowMs, STEP_MS), positions);
+        return new CursorSchedule(nowMs, Math.floorDiv(nowMs, STEP_MS), positions);
     }
 
-    /** A schedule as it was stored: the grid point of its beginning and the position at each point. */
-    public static CursorSchedule of(long firstStep, List<Long> positions) {
+    /** A schedule as it was stored: when the cursor began to move, the first grid point kept and the position at each. */
+    public static CursorSchedule of(long startedMs, long firstStep, List<Long> positions) {
         long[] values = positions.stream().mapToLong(Long::longValue).toArray();
         for (int i = 1; i < values.length; i++) {
             if (values[i] < values[i - 1]) {
@@ -51,10 +53,15 @@
         if (values.length < 2) {
             throw new IllegalArgumentException("a schedule needs a step");
         }
-        return new CursorSchedule(firstStep, values);
+        return new CursorSchedule(startedMs, firstStep, values);
     }
 
-    /** The grid point at which it begins. */
+    /** Epoch milliseconds at which the cursor began to move. */
+    public long startedMs() {
+        return startedMs;
+    }
+
+    /** The first grid point that is kept. */
     public long firstStep() {
         return firstStep;
     }
@@ -146,12 +153,13 @@
         for (int point = 0; point < kept.length; point++) {
             kept[point] -= wholeLaps;
         }
-        return new CursorSchedule(firstStep + dropped, kept);
+        return new CursorSchedule(startedMs, firstStep + dropped, kept);
     }
 
     @Override
     public boolean equals(Object other) {
         return other instanceof CursorSchedule schedule
+                && schedule.startedMs == startedMs
                 && schedule.firstStep == firstStep
                 && Arrays.equals(schedule.positions, positions);
     }
--- a/src/main/java/org/mountlug/core/admit/LimitedQueue.java
+++ b/src/main/java/org/mountlug/core/admit/LimitedQueue.java
@@ -9,13 +9,17 @@
 final class LimitedQueue {
     private static final double LAPS_A_STEP_MOST = CursorSchedule.STEP_MS / (double) Constants.Admission.GRACE_MS;
 
-    private final double sinceS;
+    private static final long NOT_CONTENT = -1;
+
+    /** Before it, controllers counted what came to the open queue, or a new leader has not heard them all. */
+    private final long countsFromMs;
+
     private final ArrivalRate rate;
     private CursorSchedule schedule;
-    private double contentSinceS = Double.NaN;
+    private long contentSinceMs = NOT_CONTENT;
 
-    private LimitedQueue(double sinceS, ArrivalRate rate, CursorSchedule schedule) {
-        this.sinceS = sinceS;
+    private LimitedQueue(ArrivalRate rate, CursorSchedule schedule, long nowMs) {
+        this.countsFromMs = nowMs + Constants.Admission.SETTLED_MS;
         this.rate = rate;
         this.schedule = schedule;
     }
@@ -24,7 +28,7 @@
      * A queue that is limited from now on. As nothing was met by its cursor yet, its first schedule is forecast from how often
      * it is asked.
      */
-    static LimitedQueue starting(double admittedPerS, double askedPerS, long nowMs, double nowS) {
+    static LimitedQueue starting(double admittedPerS, double askedPerS, long nowMs) {
         double stepS = CursorSchedule.STEP_MS / 1000.0;
         long firstMs = Math.floorDiv(nowMs, CursorSchedule.STEP_MS) * CursorSchedule.STEP_MS;
         int steps =
@@ -34,7 +38,7 @@
             double perLap = Math.max(1, askedPerS * presentS((step + 0.5) * stepS));
             advances[step] = places(admittedPerS / perLap * stepS);
         }
-        return new LimitedQueue(nowS, new ArrivalRate(askedPerS), CursorSchedule.starting(nowMs, advances));
+        return new LimitedQueue(new ArrivalRate(askedPerS), CursorSchedule.starting(nowMs, advances), nowMs);
     }
 
     /**
@@ -42,17 +46,28 @@
      * and those who come for the first time while their turn lasts.
      */
     private static double presentS(double ageS) {
-        double waitingS = Constants.Admission.ONSET_S + Math.min(ageS, Constants.Admission.PATIENCE_S);
-        return waitingS + Math.min(ageS, Constants.Admission.GRACE_MS / 1000.0);
+        return waitingS(ageS) + Math.min(ageS, Constants.Admission.GRACE_MS / 1000.0);
+    }
+
+    /** The same of those who are counted as met: of whoever comes for the first time, only who comes just at its turn. */
+    private static double metS(double ageS) {
+        return waitingS(ageS) + Math.min(ageS, Constants.Admission.MET_MS / 1000.0);
     }
 
-    /** A queue that an earlier leader limited, for how long is not known; its pace tells what that leader reckoned with. */
-    static LimitedQueue restored(CursorSchedule schedule, double admittedPerS, double nowS) {
+    private static double waitingS(double ageS) {
+        return Constants.Admission.ONSET_S + Math.min(ageS, Constants.Admission.PATIENCE_S);
+    }
+
+    /** A queue that an earlier leader limited; its pace tells what that leader reckoned with. */
+    static LimitedQueue restored(CursorSchedule schedule, double admittedPerS, long nowMs) {
         double lapsPerS = schedule.lastAdvance() / (double) HashRing.LAP / (CursorSchedule.STEP_MS / 1000.0);
         double perLap = admittedPerS / Math.max(lapsPerS, Constants.Admission.SLOWEST_LAPS_PER_S);
-        double sinceS = nowS - Constants.Admission.PATIENCE_S;
-        ArrivalRate guess = new ArrivalRate(Math.max(1, perLap) / presentS(Constants.Admission.PATIENCE_S));
-        return new LimitedQueue(sinceS, guess, schedule);
+        double ageS = ageS(schedule, schedule.endMs());
+        return new LimitedQueue(new ArrivalRate(Math.max(1, perLap) / presentS(ageS)), schedule, nowMs);
+    }
+
+    private static double ageS(CursorSchedule schedule, long epochMs) {
+        return Math.max(0, (epochMs - schedule.startedMs()) / 1000.0);
     }
 
     CursorSchedule schedule() {
@@ -60,18 +75,19 @@
     }
 
     /** Takes in how many submissions were met at their turn in the time that has passed. */
-    void observe(double submissions, long fromMs, long toMs, double nowS) {
-        if (nowS - sinceS < Constants.Admission.SETTLED_S) {
-            return; // controllers counted what came to the open queue
+    void observe(double submissions, long fromMs, long toMs) {
+        if (toMs < countsFromMs) {
+            return;
         }
+        double ageS = ageS(schedule, toMs);
         double laps = (schedule.positionAt(toMs) - schedule.positionAt(fromMs)) / (double) HashRing.LAP;
-        rate.observe(submissions, laps * presentS(nowS - sinceS), (toMs - fromMs) / 1000.0);
+        rate.observe(submissions, laps * metS(ageS), (toMs - fromMs) / 1000.0);
     }
 
     /** Extends the schedule so that so many submissions a second will have their turn. */
-    void extend(double admittedPerS, double askedPerS, long nowMs, double nowS) {
+    void extend(double admittedPerS, double askedPerS, long nowMs) {
         double ahead = askedPerS <= admittedPerS ? 0 : Constants.Admission.HORIZON_MS / 1000.0;
-        double perLap = Math.max(1, rate.perS() * presentS(nowS - sinceS + ahead));
+        double perLap = Math.max(1, rate.perS() * presentS(ageS(schedule, nowMs) + ahead));
         schedule = schedule.extended(
                 nowMs,
                 nowMs + Constants.Admission.HORIZON_MS,
@@ -80,18 +96,18 @@
     }
 
     /** Whether so little has been asked for a while that a limit is not needed any more. */
-    boolean content(double admittedPerS, double askedPerS, double nowS) {
+    boolean content(double admittedPerS, double askedPerS, long nowMs) {
         boolean little = askedPerS <= admittedPerS * Constants.Admission.CONTENT_SHARE;
         boolean drained =
-                rate.perS() * presentS(nowS - sinceS) <= admittedPerS * Constants.Admission.HORIZON_MS / 1000.0;
+                rate.perS() * presentS(ageS(schedule, nowMs)) <= admittedPerS * Constants.Admission.HORIZON_MS / 1000.0;
         if (!little || !drained) {
-            contentSinceS = Double.NaN;
+            contentSinceMs = NOT_CONTENT;
             return false;
         }
-        if (Double.isNaN(contentSinceS)) {
-            contentSinceS = nowS;
+        if (contentSinceMs == NOT_CONTENT) {
+            contentSinceMs = nowMs;
         }
-        return nowS - contentSinceS >= Constants.Admission.CONTENT_S;
+        return nowMs - contentSinceMs >= Constants.Admission.CONTENT_MS;
     }
 
     private static long places(double lapsInStep) {
--- a/src/main/java/org/mountlug/node/AdmissionPublisher.java
+++ b/src/main/java/org/mountlug/node/AdmissionPublisher.java
@@ -122,9 +122,10 @@
         if (limiting) {
             return; // read again after a failed write: what this term has planned goes on
         }
-        planner.restore(table, nowMs(), term.nowS());
+        planner.restore(table, nowMs());
         limiting = table.limits(nowMs());
         if (limiting) {
+            budget.restore(table.capacityPerS(), term.nowS());
             LOG.info(
                     "{} queues are limited, as the last leader left it",
                     table.schedules().size());
--- a/src/main/java/org/mountlug/store/AdmissionCodec.java
+++ b/src/main/java/org/mountlug/store/AdmissionCodec.java
@@ -22,12 +22,13 @@
     private static final String QUEUES = "q";
     private static final String TEAM = "t";
     private static final String JOB_CLASS = "l";
+    private static final String STARTED_MS = "b";
     private static final String FIRST_STEP = "s";
     private static final String POSITIONS = "p";
     /** Characters of a record beside its queues. */
     private static final int FIXED_CHARS = 80;
     /** Characters of a queue beside its names and positions, and of a position: up to a lap in a step. */
-    private static final int QUEUE_CHARS = 50;
+    private static final int QUEUE_CHARS = 70;
 
     private static final int POSITION_CHARS = 8;
 
@@ -72,6 +73,7 @@
         Map<String, Object> entry = new LinkedHashMap<>();
         entry.put(TEAM, queue.team());
         entry.put(JOB_CLASS, queue.jobClass());
+        entry.put(STARTED_MS, schedule.startedMs());
         entry.put(FIRST_STEP, schedule.firstStep());
         entry.put(POSITIONS, differences);
         return entry;
@@ -107,7 +109,9 @@
             positions.add(position);
         }
         if (team != null && jobClass != null && positions.size() >= 2) {
-            schedules.put(new QueueId(team, jobClass), CursorSchedule.of(Fields.num(entry, FIRST_STEP, 0), positions));
+            long startedMs = Fields.num(entry, STARTED_MS, 0);
+            long firstStep = Fields.num(entry, FIRST_STEP, 0);
+            schedules.put(new QueueId(team, jobClass), CursorSchedule.of(startedMs, firstStep, positions));
         }
     }
 }
--- a/src/test/java/org/mountlug/node/FloodScenario.java
+++ b/src/test/java/org/mountlug/node/FloodScenario.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.mountlug.api.UserAnswer;
@@ -22,6 +24,8 @@
     static final double PATIENCE_S = 60;
     private static final double LONGEST_WAIT_S = 30;
     private static final double TIMEOUT_S = 5;
+    /** Seconds after which the load balancer knows that a controller does not answer. */
+    private static final double NOTICED_S = 2;
 
     /** Submissions of a queue, so many a second, from one time to another in seconds of the scenario. */
     record Flow(QueueId queue, double perS, double fromS, double untilS) {
@@ -76,12 +80,16 @@
             int mine = ++tries;
             outcome(queue).asked++;
             world.in(TIMEOUT_S, () -> {
-                if (mine == tries) {
+                if (mine == tries && !over) {
+                    finalTurnS = Double.NaN;
                     send(); // no answer at all
                 }
             });
             byte[] body = node.body(id, 1, false, Map.of("crew", queue.team(), "lane", queue.jobClass()));
             node.askLater("submission", id, reply -> node.users.submit(body, reply), answer -> {
+                if (answer.get("answer") instanceof UserAnswer.Accepted && !created.add(id)) {
+                    broken.add(id + " was created twice");
+                }
                 if (mine == tries && !over) {
                     answered(node, (UserAnswer) answer.get("answer"));
                 }
@@ -101,15 +109,21 @@
                 toldSeconds.merge(deferred.retryAfterS(), 1, Integer::sum);
                 back(deferred.retryAfterS());
             } else if (answer instanceof UserAnswer.Unavailable unavailable) {
-                undecided++;
-                back(unavailable.retryAfterS());
+                undecided(unavailable.retryAfterS());
             } else if (answer instanceof UserAnswer.OverBudget overBudget) {
-                back(overBudget.retryAfterS());
+                undecided(overBudget.retryAfterS());
             } else {
                 broken.add(id + " got " + answer);
             }
         }
 
+        private void undecided(int retryAfterS) {
+            undecided++;
+            slipped += world.now >= finalTurnS ? 1 : 0;
+            finalTurnS = Double.NaN;
+            back(retryAfterS);
+        }
+
         private void accepted() {
             over = true;
             Outcome outcome = outcome(queue);
@@ -135,12 +149,16 @@
     boolean obedient = true;
 
     int undecided;
+    /** How many came back at a final turn and could not be taken in just then. */
+    int slipped;
     /** Seconds from the end of a task to its job's durable end, the longest, looked at twice a second. */
     double longestLagS;
 
     private final Map<QueueId, Outcome> outcomes = new TreeMap<>();
     private final Map<Integer, Integer> toldSeconds = new TreeMap<>();
     private final Map<String, Double> endedAt = new HashMap<>();
+    private final Set<String> created = new HashSet<>();
+    private final Map<SimulatedCluster.Node, Double> silentSince = new HashMap<>();
     private final List<Submission> openProbes = new ArrayList<>();
     private final SplittableRandom random;
     private int submissions;
@@ -198,8 +216,15 @@
 
     /** As the load balancer lets users reach one: any that answers its probes. */
     private SimulatedCluster.Node anyNode() {
-        List<SimulatedCluster.Node> up = new ArrayList<>(world.nodes);
-        up.removeIf(node -> !node.up || !node.controller.healthy());
+        List<SimulatedCluster.Node> up = new ArrayList<>();
+        for (SimulatedCluster.Node node : world.nodes) {
+            boolean silent = node.frozenUntil > world.now;
+            double silentSinceS = silent ? silentSince.getOrDefault(node, world.now) : world.now;
+            silentSince.put(node, silentSinceS);
+            if (node.up && world.now - silentSinceS < NOTICED_S && (silent || node.controller.healthy())) {
+                up.add(node);
+            }
+        }
         return up.isEmpty() ? null : up.get(random.nextInt(up.size()));
     }
 
--- a/src/test/java/org/mountlug/store/AdmissionCodecTest.java
+++ b/src/test/java/org/mountlug/store/AdmissionCodecTest.java
@@ -30,7 +30,7 @@
     }
 
     @ParameterizedTest(name = "{0} queues in {1} characters a record")
-    @CsvSource({"0, 1700, 1", "1, 1700, 1", "10, 1700, 1", "64, 1700, 6", "64, 6900, 2"})
+    @CsvSource({"0, 1700, 1", "1, 1700, 1", "10, 1700, 1", "64, 1700, 7", "64, 6900, 2"})
     void whatIsWrittenIsReadBack(int queues, int chars, int records) throws IOException {
         AdmissionTable table = table(NOW_MS, queues);
         List<Map<String, Object>> read = new ArrayList<>();
