Admission: a bucket a queue, and no new limits just after an outage or a return

Causes, by the answers that each got: a team's classes shared one bucket, so its flood took the tokens of its quiet class; the retries of all who could not be taken in during an outage, or while few controllers were up, were taken for a flood, and the quiet queue was limited.

Change: token buckets on three levels (queue, team, common); no further queue is limited for 5 s after an outage or after a controller was heard for the first time.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -463,10 +463,14 @@
         public static final double TARGET_SHARE = 0.9;
         /** Seconds' worth of its rate that a token bucket holds: the state service takes a second's worth at once. */
         public static final double BURST_S = 1;
-        /** Tokens that a team's bucket holds at the least, so that two submissions at once are no flood. */
-        public static final double TEAM_BURST_LEAST = 2;
+        /** Seconds after which a class that is not asked for has no bucket of its own. */
+        public static final double CLASS_IDLE_S = 60;
+        /** Classes of a team with a bucket of their own, as users name them; the others share one. */
+        public static final int CLASSES_MOST = 16;
+        /** Tokens that the bucket of a team or queue holds at the least, so that two submissions at once are no flood. */
+        public static final double BURST_LEAST = 2;
         /**
-         * Seconds' worth of a controller's rate by which submissions whose turn has come may overdraw their team's bucket: the
+         * Seconds' worth of a controller's rate by which submissions whose turn has come may overdraw their queue's bucket: the
          * cursor sets their number already, and they come unevenly.
          */
         public static final double OVERDRAFT_S = 10;
@@ -492,6 +496,8 @@
         public static final double CONTENT_SHARE = 0.8;
         /** Milliseconds for which that must last before it is open again. */
         public static final long CONTENT_MS = 5000;
+        /** Seconds after an outage, or the return of a controller, without further limits: all come back who were not taken in. */
+        public static final double OUTAGE_OVER_S = 5;
         /** Queues that are counted and limited at the most, as users name job classes; more are held back by teams only. */
         public static final int QUEUES_MOST = 64;
         /** Seconds, the longest that users wait for one {@code Retry-After}. */
--- a/src/main/java/org/mountlug/core/admit/AdmissionGate.java
+++ b/src/main/java/org/mountlug/core/admit/AdmissionGate.java
@@ -32,10 +32,7 @@
         this.settings = settings;
         this.deployment = deployment;
         buckets = new TeamBuckets(
-                deployment.weights(),
-                openRatePerS(),
-                Constants.Admission.BURST_S,
-                Constants.Admission.TEAM_BURST_LEAST);
+                deployment.weights(), openRatePerS(), Constants.Admission.BURST_S, Constants.Admission.BURST_LEAST);
     }
 
     /** Takes in the table as the state service showed it at a time, in steady seconds. */
@@ -85,7 +82,7 @@
         if (schedule == null || metJustNow(schedule, jobId, nowMs)) {
             meter.met(queue);
         }
-        if (buckets.take(queue.team(), overdraft)) {
+        if (buckets.take(queue, overdraft)) {
             return new AdmissionDecision.Admit();
         }
         meter.refused(queue);
--- a/src/main/java/org/mountlug/core/admit/AdmissionPlanner.java
+++ b/src/main/java/org/mountlug/core/admit/AdmissionPlanner.java
@@ -28,6 +28,8 @@
     private final Map<QueueId, LimitedQueue> released = new HashMap<>();
     private final List<TeamTransition> transitions = new ArrayList<>();
     private long plannedMs = -1;
+    /** Steady seconds at which a controller was heard that had not been before. */
+    private double joinedS = Double.NEGATIVE_INFINITY;
 
     /**
      * A planner that knows of no demand yet.
@@ -57,6 +59,7 @@
         Counts before = heard.get(controller);
         boolean goesOn =
                 before != null && before.boot() == boot && nowS - before.heardS() <= Constants.Admission.HEARD_S;
+        joinedS = goesOn ? joinedS : nowS;
         Map<QueueId, QueueDemand> byQueue = new HashMap<>();
         for (QueueDemand counted : demand) {
             byQueue.put(counted.queue(), counted);
@@ -69,13 +72,19 @@
         heard.put(controller, new Counts(boot, nowS, byQueue));
     }
 
-    /** Plans the table for the time from now on. */
-    public AdmissionTable plan(ChangeBudget budget, long nowMs, double nowS) {
+    /**
+     * Plans the table for the time from now on.
+     *
+     * @param mayLimit whether further queues may be limited: not just after an outage, when all come back who could not be
+     *     taken in, which is no flood. Nor are they just after a controller has been heard for the first time.
+     */
+    public AdmissionTable plan(ChangeBudget budget, boolean mayLimit, long nowMs, double nowS) {
         measure(nowMs, nowS);
+        boolean settled = mayLimit && nowS - joinedS > Constants.Admission.OUTAGE_OVER_S;
         Map<QueueId, Double> parts = parts(budget.lastingPerS());
         Set<String> before = deferredTeams();
         for (Map.Entry<QueueId, QueueRates> entry : rates.entrySet()) {
-            plan(entry.getKey(), entry.getValue(), parts.get(entry.getKey()), nowMs);
+            plan(entry.getKey(), entry.getValue(), parts.get(entry.getKey()), settled, nowMs);
         }
         noteTransitions(before, parts);
         Map<QueueId, CursorSchedule> schedules = new HashMap<>();
@@ -120,13 +129,14 @@
         return parts;
     }
 
-    private void plan(QueueId queue, QueueRates rate, double partPerS, long nowMs) {
+    private void plan(QueueId queue, QueueRates rate, double partPerS, boolean mayLimit, long nowMs) {
         LimitedQueue limit = limited.get(queue);
         double askedPerS = rate.askedPerS();
         double admittedPerS = partPerS * Constants.Admission.TARGET_SHARE;
         if (limit == null) {
             double drainS = askedPerS * Constants.Admission.UNDECIDED_MEAN_S / partPerS;
-            boolean flooded = rate.refusedTwice() && askedPerS > partPerS && drainS > Constants.Admission.DRAIN_S;
+            boolean flooded =
+                    mayLimit && rate.refusedTwice() && askedPerS > partPerS && drainS > Constants.Admission.DRAIN_S;
             if (flooded && limited.size() < Constants.Admission.QUEUES_MOST) {
                 limited.put(queue, limitAnew(queue, admittedPerS, rate.latestAskedPerS(), nowMs));
             }
--- a/src/main/java/org/mountlug/core/admit/TeamBuckets.java
+++ b/src/main/java/org/mountlug/core/admit/TeamBuckets.java
@@ -2,27 +2,43 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.mountlug.Constants;
 
 /**
- * Token buckets with borrowing, one bucket a team and one that they share. A team's bucket fills at its share of the rate;
- * what a full bucket cannot hold goes to the common one, from which any team may borrow. So a team that asks within its
- * share always finds a token, and what teams leave is used by the others. A token pays for one change.
+ * Token buckets with borrowing on three levels: one a queue, one a team, and one that all share. A team's share of the rate
+ * flows evenly into the buckets of its queues; what a full bucket cannot hold flows on to its team's, and from a full team's to
+ * the common one. So a queue that is asked within its part always finds a token, and what is left is used by the others. A token
+ * pays for one change.
  */
 final class TeamBuckets {
     private static final class Bucket {
-        final double weight;
         double tokens;
+        double usedS;
+
+        /** Adds tokens and returns what the bucket cannot hold. */
+        double fill(double added, double burst) {
+            tokens += added;
+            double excess = Math.max(0, tokens - burst);
+            tokens -= excess;
+            return excess;
+        }
+    }
+
+    private static final class Team {
+        final double weight;
+        final Bucket own = new Bucket();
+        final Map<String, Bucket> classes = new LinkedHashMap<>();
 
-        Bucket(double weight) {
+        Team(double weight) {
             this.weight = weight;
         }
     }
 
-    private final Map<String, Bucket> teams = new LinkedHashMap<>();
-    private final double teamBurstLeast;
+    private final Map<String, Team> teams = new LinkedHashMap<>();
+    private final double burstLeast;
     private final double burstS;
+    private final Bucket common = new Bucket();
     private double weights;
-    private double common;
     private double filledS = Double.NaN;
 
     /**
@@ -31,26 +47,26 @@
      * @param weights the teams' weights, above 0
      * @param ratePerS tokens a second by which the first fill is reckoned
      * @param burstS seconds' worth of its rate that a bucket holds
-     * @param teamBurstLeast tokens that a team's bucket holds at the least, at least 1
+     * @param burstLeast tokens that the bucket of a team or queue holds at the least, at least 1
      */
-    TeamBuckets(Map<String, Double> weights, double ratePerS, double burstS, double teamBurstLeast) {
+    TeamBuckets(Map<String, Double> weights, double ratePerS, double burstS, double burstLeast) {
         this.burstS = burstS;
-        this.teamBurstLeast = Math.max(1, teamBurstLeast);
-        weights.forEach((team, weight) -> teams.put(team, new Bucket(weight)));
+        this.burstLeast = Math.max(1, burstLeast);
+        weights.forEach((team, weight) -> teams.put(team, new Team(weight)));
         weights.values().forEach(weight -> this.weights += weight);
-        teams.values().forEach(bucket -> bucket.tokens = burst(bucket, ratePerS));
-        common = commonBurst(ratePerS);
+        teams.values().forEach(team -> team.own.tokens = teamBurst(team, ratePerS));
+        common.tokens = burst(ratePerS);
     }
 
-    private double rate(Bucket bucket, double ratePerS) {
-        return ratePerS * bucket.weight / weights;
+    private double teamRate(Team team, double ratePerS) {
+        return ratePerS * team.weight / weights;
     }
 
-    private double burst(Bucket bucket, double ratePerS) {
-        return Math.max(teamBurstLeast, rate(bucket, ratePerS) * burstS);
+    private double teamBurst(Team team, double ratePerS) {
+        return Math.max(burstLeast, teamRate(team, ratePerS) * burstS);
     }
 
-    private double commonBurst(double ratePerS) {
+    private double burst(double ratePerS) {
         return Math.max(1, ratePerS * burstS);
     }
 
@@ -58,41 +74,64 @@
     void fill(double ratePerS, double nowS) {
         double elapsedS = Double.isNaN(filledS) ? 0 : Math.max(0, nowS - filledS);
         filledS = nowS;
-        for (Bucket bucket : teams.values()) {
-            bucket.tokens += rate(bucket, ratePerS) * elapsedS;
-            double excess = bucket.tokens - burst(bucket, ratePerS);
-            if (excess > 0) {
-                bucket.tokens -= excess;
-                common += excess;
+        double left = 0;
+        for (Team team : teams.values()) {
+            left += fill(team, ratePerS, elapsedS);
+        }
+        common.fill(left, burst(ratePerS));
+    }
+
+    private double fill(Team team, double ratePerS, double elapsedS) {
+        team.classes.values().removeIf(bucket -> filledS - bucket.usedS > Constants.Admission.CLASS_IDLE_S);
+        double inflow = teamRate(team, ratePerS) * elapsedS;
+        int classes = team.classes.size();
+        if (classes > 0) {
+            double classRatePerS = teamRate(team, ratePerS) / classes;
+            double excess = 0;
+            for (Bucket bucket : team.classes.values()) {
+                excess += bucket.fill(inflow / classes, Math.max(burstLeast, burst(classRatePerS)));
             }
+            inflow = excess;
         }
-        common = Math.min(common, commonBurst(ratePerS));
+        return team.own.fill(inflow, teamBurst(team, ratePerS));
     }
 
     /**
-     * Takes a token of the team's, or else a common one; false if there is neither.
+     * Takes a token of the queue's, or else of its team's, or else a common one; false if there is none.
      *
-     * @param overdraft tokens that the team may owe after that; it gets no others before they are paid
+     * @param overdraft tokens that the queue may owe after that; it gets no others before they are paid
      */
-    boolean take(String team, double overdraft) {
-        Bucket bucket = teams.get(team);
-        if (bucket == null) {
+    boolean take(QueueId queue, double overdraft) {
+        Team team = teams.get(queue.team());
+        if (team == null) {
             return false;
         }
-        if (bucket.tokens >= 1) {
-            bucket.tokens--;
-        } else if (common >= 1) {
-            common--;
-        } else if (bucket.tokens - 1 >= -overdraft) {
-            bucket.tokens--;
+        Bucket own = bucket(team, queue.jobClass());
+        if (own.tokens >= 1) {
+            own.tokens--;
+        } else if (team.own.tokens >= 1) {
+            team.own.tokens--;
+        } else if (common.tokens >= 1) {
+            common.tokens--;
+        } else if (own.tokens - 1 >= -overdraft) {
+            own.tokens--;
         } else {
             return false;
         }
         return true;
     }
 
+    /** The queue's bucket. A new one is empty, so that a new name for a class buys nothing; beyond a bound they share one. */
+    private Bucket bucket(Team team, String jobClass) {
+        boolean room = team.classes.size() < Constants.Admission.CLASSES_MOST;
+        String name = room || team.classes.containsKey(jobClass) ? jobClass : "";
+        Bucket bucket = team.classes.computeIfAbsent(name, unseen -> new Bucket());
+        bucket.usedS = filledS;
+        return bucket;
+    }
+
     /** Pays for a change that waits for no token; submissions wait until the debt is paid, which is bounded. */
     void spend(double ratePerS) {
-        common = Math.max(-commonBurst(ratePerS), common - 1);
+        common.tokens = Math.max(-burst(ratePerS), common.tokens - 1);
     }
 }
--- a/src/main/java/org/mountlug/node/AdmissionPublisher.java
+++ b/src/main/java/org/mountlug/node/AdmissionPublisher.java
@@ -40,11 +40,14 @@
     private boolean limiting;
 
     private double nextPlanS;
+    /** Steady seconds at which the state service was last seen not to serve, or this term began. */
+    private double unservedS;
 
     AdmissionPublisher(LeaderTerm term, Budget writes, AdmissionControl own) {
         this.term = term;
         this.writes = writes;
         this.own = own;
+        this.unservedS = term.nowS();
         Settings settings = term.environment.settings();
         double changesPerS = settings.stateWriteRps();
         budget = new ChangeBudget(changesPerS, changesPerS * Constants.LEADER_WRITE_SHARE);
@@ -72,13 +75,20 @@
         String label = term.environment.settings().label();
         planner.observe(label, term.cluster.token(), own.demand(), nowS);
         budget.observe(writes.taken(), limiting, nowS);
-        AdmissionTable table = planner.plan(budget, nowMs(), nowS);
+        AdmissionTable table = planner.plan(budget, servedForLong(nowS), nowMs(), nowS);
         planner.takeTransitions().forEach(AdmissionPublisher::log);
         if ((limiting || !table.schedules().isEmpty()) && term.proven(nowS)) {
             publish(table, nowS);
         }
     }
 
+    private boolean servedForLong(double nowS) {
+        if (!term.environment.state().served()) {
+            unservedS = nowS;
+        }
+        return nowS - unservedS > Constants.Admission.OUTAGE_OVER_S;
+    }
+
     private long nowMs() {
         return term.environment.epochMs().getAsLong();
     }
