--- a/src/main/java/org/mountlug/cli/Main.java
+++ b/src/main/java/org/mountlug/cli/Main.java
@@ -62,7 +62,7 @@
                 .description("Shows the version.")
                 .build());
         root.addSubcommand("serve", withSettings("serve", "Runs a controller until it is killed."));
-        root.addSubcommand("check", withSettings("check", "Checks settings; exits 0 if they are good, 1 if not."));
+        root.addSubcommand("check", withSettings("check", "Checks settings; exits 0 if they are good, 2 if not."));
         CommandSpec rehearse = command("rehearse", "Runs a controller against nothing for a moment, at build time.");
         rehearse.usageMessage().hidden(true);
         root.addSubcommand("rehearse", rehearse);
@@ -110,7 +110,7 @@
             return -1;
         } catch (Settings.Invalid e) {
             System.err.println(e.getMessage());
-            return name.equals("check") ? 1 : BAD_SETTINGS;
+            return BAD_SETTINGS;
         } catch (java.io.IOException | RuntimeException e) {
             System.err.println("cannot start: " + e);
             return 1;
--- /dev/null
+++ b/src/test/java/org/mountlug/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package org.mountlug.cli;
