--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -439,8 +439,10 @@
         public static final double REREAD_S = 1;
         /** Milliseconds between two openings of the watch: a table comes once a second. */
         public static final int WATCH_PAUSE_MS = 200;
-        /** Share of the changes a second that submissions may cost while nothing is limited: the leader may need all its part. */
-        public static final double OPEN_SHARE = 0.25;
+        /** Share of the changes a second that submissions may cost while nothing is limited; the leader then needs little. */
+        public static final double OPEN_SHARE = 0.6;
+        /** Seconds after a refusal by the state service in which the leader may need all its part. */
+        public static final double REFUSED_S = 10;
         /** Share of the changes a second that submissions may always cost: what the leader's flush never uses, less a margin. */
         public static final double LEAST_SHARE = 0.23;
         /** Share of the changes a second that is planned with; the rest is for elections, versions and notes. */
@@ -461,8 +463,8 @@
         public static final double LEADER_MEMORY_S = 2;
         /** Share of a queue's part at which its turns are aimed: arrivals at single controllers are uneven. */
         public static final double TARGET_SHARE = 0.9;
-        /** Seconds' worth of its rate that a token bucket holds: users come in uneven numbers. */
-        public static final double BURST_S = 3;
+        /** Seconds' worth of its rate that a token bucket holds: the state service takes a second's worth at once. */
+        public static final double BURST_S = 1;
         /** Seconds after which a class that is not asked for has no bucket of its own. */
         public static final double CLASS_IDLE_S = 60;
         /** Classes of a team with a bucket of their own, as users name them; the others share one. */
--- a/src/main/java/org/mountlug/core/admit/AdmissionGate.java
+++ b/src/main/java/org/mountlug/core/admit/AdmissionGate.java
@@ -26,13 +26,19 @@
     private final TeamBuckets buckets;
     private AdmissionTable table = AdmissionTable.none();
     private double confirmedS = Double.NEGATIVE_INFINITY;
+    private double refusedS = Double.NEGATIVE_INFINITY;
 
     /** A gate that has seen no table yet. */
     public AdmissionGate(AdmissionSettings settings, Deployment deployment) {
         this.settings = settings;
         this.deployment = deployment;
         buckets = new TeamBuckets(
-                deployment.weights(), openRatePerS(), Constants.Admission.BURST_S, Constants.Admission.BURST_LEAST);
+                deployment.weights(), openRatePerS(0), Constants.Admission.BURST_S, Constants.Admission.BURST_LEAST);
+    }
+
+    /** The state service has refused a request at this time, in steady seconds, as more was asked than it takes. */
+    public void refusedByState(double atS) {
+        refusedS = Math.max(refusedS, atS);
     }
 
     /** Takes in the table as the state service showed it at a time, in steady seconds. */
@@ -76,7 +82,7 @@
         if (schedule != null && !hasTurn(schedule, HashRing.place(jobId), nowMs)) {
             return defer(schedule, jobId, nowMs);
         }
-        double ratePerS = ratePerS(nowMs);
+        double ratePerS = ratePerS(nowMs, nowS);
         buckets.fill(ratePerS, nowS);
         double overdraft = schedule == null ? 0 : ratePerS * Constants.Admission.OVERDRAFT_S;
         if (schedule == null || metJustNow(schedule, jobId, nowMs)) {
@@ -92,7 +98,7 @@
 
     /** Pays for a cancellation, which waits for no token; submissions do instead. */
     public void spendForCancellation(long nowMs, double nowS) {
-        double ratePerS = ratePerS(nowMs);
+        double ratePerS = ratePerS(nowMs, nowS);
         buckets.fill(ratePerS, nowS);
         buckets.spend(ratePerS);
     }
@@ -130,14 +136,17 @@
         return (int) Math.max(1, Math.ceil(ms / 1000.0));
     }
 
-    private double openRatePerS() {
-        return deployment.changesPerS() * Constants.Admission.OPEN_SHARE / deployment.controllers();
+    /** While nothing is limited more than what the leader never uses, unless that was too much just now. */
+    private double openRatePerS(double nowS) {
+        boolean tooMuch = nowS - refusedS < Constants.Admission.REFUSED_S;
+        double share = tooMuch ? Constants.Admission.LEAST_SHARE : Constants.Admission.OPEN_SHARE;
+        return deployment.changesPerS() * share / deployment.controllers();
     }
 
     /** Changes a second that this controller may cost. */
-    private double ratePerS(long nowMs) {
+    private double ratePerS(long nowMs, double nowS) {
         if (!table.limits(nowMs)) {
-            return openRatePerS();
+            return openRatePerS(nowS);
         }
         return table.capacityPerS() / deployment.controllers();
     }
--- a/src/main/java/org/mountlug/node/FairAdmission.java
+++ b/src/main/java/org/mountlug/node/FairAdmission.java
@@ -45,6 +45,7 @@
     @Override
     public AdmissionDecision decide(JobSpec spec) {
         QueueId queue = new QueueId(spec.team(), spec.lane());
+        gate.refusedByState(state.limitedS());
         AdmissionDecision decision = gate.decide(queue, spec.id(), nowMs(), nowS());
         if (decision instanceof AdmissionDecision.Admit) {
             state.spendRequest();
--- a/src/main/java/org/mountlug/store/StateClient.java
+++ b/src/main/java/org/mountlug/store/StateClient.java
@@ -24,6 +24,8 @@
     private volatile double servedS = Double.NEGATIVE_INFINITY;
 
     private volatile double refusedS = Double.NEGATIVE_INFINITY;
+    /** Steady seconds of the last answer that more was asked than the state service takes. */
+    private volatile double limitedS = Double.NEGATIVE_INFINITY;
 
     /** @param nodes how many nodes draw on the same budget */
     public StateClient(Calls calls, Calls watches, java.util.function.DoubleSupplier clockS, double rps, int nodes) {
@@ -60,6 +62,11 @@
         return servedS;
     }
 
+    /** Steady seconds at which the last request was sent that was more than the state service takes. */
+    public double limitedS() {
+        return limitedS;
+    }
+
     /** Whether the last thing heard from the state service was an answer. */
     public boolean served() {
         return servedS >= refusedS;
@@ -70,7 +77,9 @@
         return a -> {
             if (a.status() == 503 || a.none()) {
                 refusedS = Math.max(refusedS, asked);
-            } else if (a.status() != 429) {
+            } else if (a.status() == 429) {
+                limitedS = Math.max(limitedS, asked);
+            } else {
                 servedS = Math.max(servedS, asked);
             }
             then.accept(a);
