--- a/src/main/java/org/mountlug/api/Api.java
+++ b/src/main/java/org/mountlug/api/Api.java
@@ -9,18 +9,17 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.mountlug.Constants;
 import org.mountlug.agent.AgentCodec;
 import org.mountlug.core.model.Report;
 import org.mountlug.node.Controller;
 import org.mountlug.wire.Cbor;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** What users, the load balancer and workers reach on {@code listen}: paths, methods and bodies. */
 public final class Api implements HttpHandler {
-    private static final Logger LOG = LoggerFactory.getLogger(Api.class);
-    private static final HttpString RETRY_AFTER = Headers.RETRY_AFTER;
+    private static final String JOB_PREFIX = "/work/";
+    private static final String ABORT_SUFFIX = "/abort";
 
     private final Controller node;
     private final Users users;
@@ -32,128 +31,128 @@
     }
 
     @Override
-    public void handleRequest(HttpServerExchange x) {
-        String path = x.getRequestPath();
-        HttpString method = x.getRequestMethod();
-        if (path.equals("/up")) {
-            if (!method.equals(Methods.GET)) {
-                empty(x, 405);
-            } else {
-                empty(x, node.healthy() ? 200 : 503);
-            }
-            return;
+    public void handleRequest(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        switch (path) {
+            case "/up" -> handleIf(Methods.GET, exchange, () -> sendEmpty(exchange, node.healthy() ? 200 : 503));
+            case "/metrics" -> handleIf(Methods.GET, exchange, () -> sendMetrics(exchange));
+            case "/work" ->
+                handleIf(
+                        Methods.POST,
+                        exchange,
+                        () -> receive(exchange, body -> users.submit(body, answer -> send(exchange, answer))));
+            case "/agent/beat" ->
+                handleIf(Methods.POST, exchange, () -> receive(exchange, body -> handleReport(exchange, body)));
+            default -> handleJob(exchange, path);
         }
-        if (path.equals("/metrics")) {
-            if (!method.equals(Methods.GET)) {
-                empty(x, 405);
-            } else {
-                x.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
-                x.getResponseSender().send(node.metrics().scrape());
-            }
-            return;
+    }
+
+    private static void handleIf(HttpString method, HttpServerExchange exchange, Runnable handler) {
+        if (exchange.getRequestMethod().equals(method)) {
+            handler.run();
+        } else {
+            sendEmpty(exchange, 405);
         }
-        if (path.equals("/work") || path.equals("/agent/beat")) {
-            if (!method.equals(Methods.POST)) {
-                empty(x, 405);
-                return;
-            }
-            if (x.getRequestContentLength() > Constants.BODY_MAX) {
-                x.setPersistent(false);
-                answer(x, 400, Map.of("error", "body over 64 KiB"));
-                return;
-            }
-            boolean beat = path.equals("/agent/beat");
-            x.getRequestReceiver()
-                    .receiveFullBytes(
-                            (y, bytes) -> y.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                                if (beat) {
-                                    handleReport(y, bytes);
-                                } else {
-                                    users.submit(bytes, reply(y));
-                                }
-                            }),
-                            (y, e) -> empty(y, 400));
-            return;
+    }
+
+    private void handleJob(HttpServerExchange exchange, String path) {
+        String job = path.startsWith(JOB_PREFIX) ? path.substring(JOB_PREFIX.length()) : "";
+        if (job.endsWith(ABORT_SUFFIX)) {
+            String jobId = job.substring(0, job.length() - ABORT_SUFFIX.length());
+            handleIf(
+                    Methods.POST,
+                    exchange,
+                    () -> receiveAnyLength(exchange, body -> users.abort(jobId, answer -> send(exchange, answer))));
+        } else if (path.startsWith(JOB_PREFIX) && job.indexOf('/') < 0) {
+            handleIf(
+                    Methods.GET,
+                    exchange,
+                    () -> exchange.dispatch(
+                            SameThreadExecutor.INSTANCE, () -> users.poll(job, answer -> send(exchange, answer))));
+        } else {
+            sendEmpty(exchange, 404);
         }
-        if (path.startsWith("/work/")) {
-            String id = path.substring(6);
-            if (id.endsWith("/abort")) {
-                String job = id.substring(0, id.length() - 6);
-                if (!method.equals(Methods.POST)) {
-                    empty(x, 405);
-                } else {
-                    x.getRequestReceiver()
-                            .receiveFullBytes(
-                                    (y, bytes) ->
-                                            y.dispatch(SameThreadExecutor.INSTANCE, () -> users.abort(job, reply(y))),
-                                    (y, e) -> empty(y, 400));
-                }
-                return;
-            }
-            if (id.indexOf('/') < 0) {
-                if (!method.equals(Methods.GET)) {
-                    empty(x, 405);
-                } else {
-                    x.dispatch(SameThreadExecutor.INSTANCE, () -> users.poll(id, reply(x)));
-                }
-                return;
-            }
+    }
+
+    /** Reads the body and hands it on; one over the limit is refused unread. */
+    private static void receive(HttpServerExchange exchange, Consumer<byte[]> handler) {
+        if (exchange.getRequestContentLength() > Constants.BODY_MAX) {
+            exchange.setPersistent(false);
+            sendBody(exchange, 400, Map.of("error", "body over 64 KiB"));
+            return;
         }
-        empty(x, 404);
+        receiveAnyLength(exchange, handler);
     }
 
-    private Users.Reply reply(HttpServerExchange x) {
-        return (status, body) -> {
-            if (status == 429) {
-                node.metrics().overBudget();
-            } else if (status == 503) {
-                node.metrics().unserved();
-            }
-            if (body == null) {
-                empty(x, status);
-            } else {
-                answer(x, status, body);
-            }
-        };
+    private static void receiveAnyLength(HttpServerExchange exchange, Consumer<byte[]> handler) {
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE, () -> handler.accept(body)),
+                        (received, error) -> sendEmpty(received, 400));
     }
 
-    private static void empty(HttpServerExchange x, int status) {
-        x.setStatusCode(status);
-        if (status == 429 || status == 503) {
-            x.getResponseHeaders().put(RETRY_AFTER, Constants.RETRY_AFTER_S);
+    private void send(HttpServerExchange exchange, UserAnswer answer) {
+        int status = UserAnswerCodec.status(answer);
+        if (status == 429) {
+            node.metrics().overBudget();
+        } else if (status == 503) {
+            node.metrics().unserved();
+        }
+        int retryAfterS = UserAnswerCodec.retryAfterS(answer);
+        if (retryAfterS > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
         }
-        x.endExchange();
+        Map<String, Object> body = UserAnswerCodec.body(answer);
+        if (body.isEmpty()) {
+            sendEmpty(exchange, status);
+        } else {
+            sendBody(exchange, status, body);
+        }
+    }
+
+    private void sendMetrics(HttpServerExchange exchange) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
+        exchange.getResponseSender().send(node.metrics().scrape());
     }
 
-    private static void answer(HttpServerExchange x, int status, Map<String, Object> body) {
-        x.setStatusCode(status);
-        if (status == 429 || status == 503) {
-            x.getResponseHeaders().put(RETRY_AFTER, Constants.RETRY_AFTER_S);
+    private static void sendEmpty(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status);
+        if (status == 503 && !exchange.getResponseHeaders().contains(Headers.RETRY_AFTER)) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Constants.RETRY_AFTER_S);
         }
-        x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
-        x.getResponseSender().send(ByteBuffer.wrap(Cbor.write(body)));
+        exchange.endExchange();
+    }
+
+    private static void sendBody(HttpServerExchange exchange, int status, Map<String, Object> body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
+        exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.write(body)));
     }
 
     // ---- workers ----------------------------------------------------------------------------------------------
 
-    private void handleReport(HttpServerExchange x, byte[] bytes) {
-        Report r;
-        try {
-            r = AgentCodec.report(Cbor.readMap(bytes));
-        } catch (IOException e) {
-            r = null;
-        }
-        if (r == null) {
-            empty(x, 400);
+    private void handleReport(HttpServerExchange exchange, byte[] body) {
+        Report report = readReport(body);
+        if (report == null) {
+            sendEmpty(exchange, 400);
             return;
         }
-        Controller.ReportAnswer b = node.handleReport(r);
-        if (b instanceof Controller.ReportAnswer.Orders o) {
-            answer(x, 200, AgentCodec.answer(o.token(), o.orders()));
-        } else if (b instanceof Controller.ReportAnswer.Elsewhere e) {
-            answer(x, 421, e.leader() == null ? Map.of() : Map.of("foreman", e.leader()));
+        Controller.ReportAnswer answer = node.handleReport(report);
+        if (answer instanceof Controller.ReportAnswer.Orders orders) {
+            sendBody(exchange, 200, AgentCodec.answer(orders.token(), orders.orders()));
+        } else if (answer instanceof Controller.ReportAnswer.Elsewhere elsewhere) {
+            sendBody(exchange, 421, elsewhere.leader() == null ? Map.of() : Map.of("foreman", elsewhere.leader()));
         } else {
-            empty(x, 503);
+            sendEmpty(exchange, 503);
+        }
+    }
+
+    /** The report, or null if nobody can read it. */
+    private static Report readReport(byte[] body) {
+        try {
+            return AgentCodec.report(Cbor.readMap(body));
+        } catch (IOException e) {
+            return null;
         }
     }
 }
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -27,6 +27,7 @@
 import org.mountlug.settings.Operators;
 import org.mountlug.settings.Settings;
 import org.mountlug.store.Budget;
+import org.mountlug.store.RecordCodec;
 import org.mountlug.store.StateKeys;
 import org.mountlug.wire.Fields;
 import org.slf4j.Logger;
@@ -184,7 +185,7 @@
                 return;
             }
             job.stamp = stamp;
-            if (Fields.bool(record, "x")) {
+            if (RecordCodec.cancelled(record)) {
                 cancelled(id);
             }
         }
--- a/src/main/java/org/mountlug/store/RecordCodec.java
+++ b/src/main/java/org/mountlug/store/RecordCodec.java
@@ -27,6 +27,9 @@
  * they do not know of a record they lose when they write it back. {@code docs/design.md} lists what is compatible.
  */
 public final class RecordCodec {
+    /** Field of a live record: its user has cancelled the job. */
+    private static final String CANCELLED = "x";
+
     /** Characters of a record beside its description and tasks: keys, write, zones, counts, failures. */
     private static final int FIXED_CHARS = 300;
     /** The same of a part. */
@@ -122,6 +125,18 @@
         return m;
     }
 
+    /** Whether a user has cancelled the job of this live record. */
+    public static boolean cancelled(Map<String, Object> record) {
+        return Fields.bool(record, CANCELLED);
+    }
+
+    /** The same record, cancelled. */
+    public static Map<String, Object> withCancellation(Map<String, Object> record) {
+        Map<String, Object> cancelled = new LinkedHashMap<>(record);
+        cancelled.put(CANCELLED, true);
+        return cancelled;
+    }
+
     /** How many tasks a job's own record holds, and how many each part. */
     public record Layout(int own, int per) {}
 
@@ -142,7 +157,7 @@
         m.put("s", spec(j.written));
         m.put("w", writeId);
         if (j.cancelled) {
-            m.put("x", true);
+            m.put(CANCELLED, true);
         }
         m.put("a", j.attempts);
         if (j.split()) {
@@ -319,15 +334,19 @@
         return done;
     }
 
+    /** Tasks of a live record that are done, and tasks that are placed on a machine. */
+    public record TaskCounts(int done, int placed) {}
+
     /** How many tasks of a live record are done and how many are placed. */
-    public static int[] counts(Map<String, Object> m) {
-        int[] running = new int[1];
-        boolean parts = m.containsKey("K");
-        if (parts || m.containsKey("cr")) {
-            return new int[] {parts ? (int) Fields.num(m, "cd", 0) : 0, (int) Fields.num(m, "cr", 0)};
+    public static TaskCounts counts(Map<String, Object> record) {
+        boolean parts = record.containsKey("K");
+        if (parts || record.containsKey("cr")) {
+            int done = parts ? (int) Fields.num(record, "cd", 0) : 0;
+            return new TaskCounts(done, (int) Fields.num(record, "cr", 0));
         }
-        runs(m, (machine, zone, session, from, to, attempt) -> running[0] += to - from + 1);
-        return new int[] {done(m, 0).cardinality(), running[0]};
+        int[] placed = new int[1];
+        runs(record, (machine, zone, session, from, to, attempt) -> placed[0] += to - from + 1);
+        return new TaskCounts(done(record, 0).cardinality(), placed[0]);
     }
 
     private static String ranges(BitSet done, int first) {
@@ -351,7 +370,7 @@
         Job j = new Job(spec(id, Fields.map(m.get("s"))));
         j.stamp = stamp;
         j.writeId = Fields.str(m, "w", "");
-        j.cancelled = Fields.bool(m, "x");
+        j.cancelled = cancelled(m);
         j.attempts = Fields.num(m, "a", 0);
         j.seenS = nowS;
         List<Object> k = Fields.list(m, "K");
