--- a/src/test/java/org/mountlug/node/AdmissionReplayTest.java
+++ b/src/test/java/org/mountlug/node/AdmissionReplayTest.java
@@ -24,6 +24,9 @@
     private static final double PERIOD_S = 180;
     private static final double PROBE_S = 20;
     private static final double FAULT_S = 90;
+    /** Requests that the state service may refuse in a minute, faults included. */
+    private static final double LIMITED_A_MINUTE = 30;
+
     /** Noise of what a cursor meets, over the seconds in which it is counted, as a factor on the bound. */
     private static final double BOUND_MARGIN = 1.5;
 
@@ -124,6 +127,7 @@
         System.out.printf(
                 "replay, seed %d: %d refused by the state service, %d slipped%n",
                 seed, world.state.limited, flood.slipped);
+        assertTrue(world.state.limited <= LIMITED_A_MINUTE * forS / 60, "refused: " + world.state.limited);
         assertEquals(0, flood.longestOpenProbeS(), "all probes are taken in");
         assertEquals(List.of(), flood.broken);
         assertEquals(List.of(), world.broken());
--- a/src/test/java/org/mountlug/node/LoopbackCluster.java
+++ b/src/test/java/org/mountlug/node/LoopbackCluster.java
@@ -193,6 +193,8 @@
                 skew_ms = 25.0
                 [[cluster.teams]]
                 name = "t"
+                [[cluster.teams]]
+                name = "u"
                 [cluster.workers]
                 report_s = 2.0
                 lease_s = %s
@@ -315,6 +317,15 @@
         return false;
     }
 
+    /** Submits a job at one controller, once, and returns the status code; 0 if there was no answer. */
+    int submitAt(int controller, String id, Map<String, Object> more) {
+        byte[] body;
+        synchronized (world) {
+            body = user.body(id, 1, false, more);
+        }
+        return ask(controller, "submission", id, "/work", body);
+    }
+
     /** Asks a controller about a job; what it says is held against all that was said before. */
     int poll(int controller, String id) {
         return ask(controller, "poll", id, "/work/" + id, null);
