--- a/review/standins/Cloud.java
+++ b/review/standins/Cloud.java
@@ -35,6 +35,7 @@
     private int lastNumber;
     /** Requests for machines, by the time at which they came. */
     final List<Double> rentalTimesS = new ArrayList<>();
+    int rentedMachines;
     final Platform platform;
     final String address;
 
@@ -138,6 +139,7 @@
             names = new ArrayList<>();
             for (long count = Math.min(left, ((Number) body.get("howMany")).longValue()); count > 0; count--) {
                 names.add(addMachine(type, zone, spot, types.get(type).bootS).name);
+                rentedMachines++;
             }
             world.note(
                     "cloud: rental %s of %s %s in zone %s%s: %s",
--- a/review/standins/Job.java
+++ b/review/standins/Job.java
@@ -15,6 +15,8 @@
     String urgency = "standard";
     String zone;
     boolean oneZone;
+    /** At most half of the tasks, rounded up, in one zone. */
+    boolean apart;
     boolean spotAllowed;
     String image = "img-1";
     double imageGb = 0.5;
@@ -55,7 +57,7 @@
         return World.map(
                 "nameId", id, "lane", lane, "crew", team, "shape", shape, "urgency", urgency, "pieces", (long) tasks,
                 "vcpus", cpus, "cards", gpus, "ramGb", ramGb, "bundle", image, "imageGb", imageGb, "builds", null,
-                "site", zone, "oneZone", oneZone, "apart", false, "loaners", spotAllowed, "expectedS",
+                "site", zone, "oneZone", oneZone, "apart", apart, "loaners", spotAllowed, "expectedS",
                 isService() ? 0.0 : Double.isNaN(estimateS) ? runS : estimateS, "bookmarkS", saveIntervalS, "stashS", saveS, "dueS", null);
     }
 }
--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.mountlug.wire.Cbor;
 
@@ -130,12 +131,20 @@
         return value instanceof List ? (List<Object>) value : List.of();
     }
 
+    /** Returns free ports below those that the system gives to outgoing connections. */
     static int[] freePorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         int[] ports = new int[count];
-        for (int i = 0; i < count; i++) {
-            sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-            ports[i] = sockets.get(i).getLocalPort();
+        for (int tries = 0; sockets.size() < count; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try {
+                sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+                ports[sockets.size() - 1] = port;
+            } catch (IOException e) {
+                if (tries > 1000) {
+                    throw e;
+                }
+            }
         }
         for (ServerSocket socket : sockets) {
             socket.close();
