A machine that a machine list makes known is found gone by the lists after it

Cause: the lagging first list of the term still showed the returned machines and made them known, but firstListedS was only set by a second list that showed them. The second list, 8 s later, lacked them, so they were never unlisted: silent for good, most of the zone, which was therefore closed to rentals, and their silence was not trusted, so that none was returned.

Change: the list that makes a machine known counts as its first listing. The stand-in cloud's list now also shows machines that are gone for as long as it lags.

Ruled out: the cloud (no rental was requested), the leader lease (the term lasted), the zone's rules by themselves.

--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -568,14 +568,6 @@
         for (ListedMachine listed : machineList) {
             listedNames.add(listed.name());
         }
-        for (Machine machine : machines.values()) {
-            boolean isListed = listedNames.contains(machine.name);
-            if (isListed && Double.isNaN(machine.firstListedS)) {
-                machine.firstListedS = nowS;
-            }
-            // A machine that was listed once stays listed until it is gone, and no list is older than twice the lag.
-            machine.unlisted = !isListed && nowS - machine.firstListedS > 2 * listLagS + Constants.TIMING_MARGIN_S;
-        }
         for (ListedMachine listed : machineList) {
             if (departedAtS.containsKey(listed.name())) {
                 continue;
@@ -604,6 +596,14 @@
             if (machine.address == null) {
                 machine.address = listed.address();
             }
+            if (Double.isNaN(machine.firstListedS)) {
+                machine.firstListedS = nowS;
+            }
+        }
+        for (Machine machine : machines.values()) {
+            // A machine that was listed once stays listed until it is gone, and no list is older than twice the lag.
+            machine.unlisted = !listedNames.contains(machine.name)
+                    && nowS - machine.firstListedS > 2 * listLagS + Constants.TIMING_MARGIN_S;
         }
         return failed;
     }
--- a/src/test/java/org/mountlug/node/FakeCloud.java
+++ b/src/test/java/org/mountlug/node/FakeCloud.java
@@ -8,11 +8,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.PooledHttpClient;
 
-/** An in-memory cloud with one machine type, idempotent rentals, returns and a paged machine list that may lag. */
+/**
+ * An in-memory cloud with one machine type, idempotent rentals, returns, machines that it takes back, and a paged machine
+ * list that may lag.
+ */
 final class FakeCloud {
     /** Seconds from a request to its response. */
     private static final double RESPONSE_DELAY_S = 0.1;
@@ -35,8 +39,10 @@
     final Set<String> zonesRefusingRentals = new HashSet<>();
     /** Whether every request gets status 503. */
     boolean down;
-    /** Seconds after a rental for which the machine list does not show the machine. */
+    /** Seconds by which the machine list lags: so long it lacks a new machine, and still shows one that is gone. */
     double listLagS;
+    /** The machines that were returned or taken back, in the order of their names. */
+    private final Map<String, DepartedMachine> departedMachines = new TreeMap<>();
 
     FakeCloud(SimulatedCluster cluster) {
         this.cluster = cluster;
@@ -44,6 +50,8 @@
 
     private record Reply(int status, Map<String, Object> body) {}
 
+    private record DepartedMachine(SimulatedCluster.Worker worker, double atS) {}
+
     void call(
             HttpString method,
             String path,
@@ -81,13 +89,20 @@
 
     private void returnMachines(Map<String, Object> body) {
         for (Object name : Fields.getList(body, "rigs")) {
-            SimulatedCluster.Worker worker = cluster.workers.remove((String) name);
+            SimulatedCluster.Worker worker = cluster.workers.get((String) name);
             if (worker != null) {
-                worker.terminate();
+                take(worker);
             }
         }
     }
 
+    /** Takes a machine back without a notice, with all its tasks. */
+    void take(SimulatedCluster.Worker worker) {
+        cluster.workers.remove(worker.name);
+        worker.terminate();
+        departedMachines.put(worker.name, new DepartedMachine(worker, cluster.nowS));
+    }
+
     private List<Object> rent(Map<String, Object> body) {
         String zone = Fields.getString(body, "site", "a");
         List<Object> names = new ArrayList<>();
@@ -107,21 +122,32 @@
 
     private Map<String, Object> page(String path) {
         String after = path.contains("after=") ? path.replaceAll(".*after=([^&]*).*", "$1") : "";
+        double listedAtS = cluster.nowS - listLagS;
         List<Object> machines = new ArrayList<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
-            if (cluster.nowS - worker.rentedAtS < listLagS || worker.name.compareTo(after) <= 0) {
-                continue;
-            }
+        for (SimulatedCluster.Worker worker :
+                machinesAt(listedAtS).tailMap(after, false).values()) {
             if (machines.size() == PAGE_SIZE) {
                 return Map.of("rigs", machines, "hasNext", true);
             }
-            machines.add(machineEntry(worker));
+            machines.add(machineEntry(worker, listedAtS));
         }
         return Map.of("rigs", machines, "hasNext", false);
     }
 
-    private Map<String, Object> machineEntry(SimulatedCluster.Worker worker) {
-        double ageS = cluster.nowS - worker.rentedAtS;
+    /** Returns the machines that there were at this time, by name. */
+    private TreeMap<String, SimulatedCluster.Worker> machinesAt(double timeS) {
+        TreeMap<String, SimulatedCluster.Worker> machines = new TreeMap<>(cluster.workers);
+        departedMachines.forEach((name, departed) -> {
+            if (departed.atS > timeS) {
+                machines.put(name, departed.worker);
+            }
+        });
+        machines.values().removeIf(worker -> worker.rentedAtS > timeS);
+        return machines;
+    }
+
+    private Map<String, Object> machineEntry(SimulatedCluster.Worker worker, double listedAtS) {
+        double ageS = listedAtS - worker.rentedAtS;
         boolean up = worker.willBoot && ageS >= worker.bootDurationS;
         String status = up ? "running" : "booting";
         if (cluster.nowS - worker.crashedAtS > FAILURE_LISTED_AFTER_S) {
