Move the handling of the machine list out of Cluster

Change: MachineListHandler beside ReportHandler and CommandHandler; no change in behaviour.

Result: DepartedMachinesTest, AttemptTerminationTest, ScalerTest, ZoneLossTest pass.

--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -60,6 +60,7 @@
 
     private final ReportHandler reportHandler;
     private final CommandHandler commandHandler;
+    private final MachineListHandler machineListHandler = new MachineListHandler(this);
     private final RunTimeStatistics runTimes = new RunTimeStatistics();
     private final FailureAttribution failureAttribution =
             new FailureAttribution(name -> machines.get(name), this::addEvent);
@@ -563,49 +564,7 @@
      * @return names of the failed machines, which are to be deleted in the cloud
      */
     public List<String> applyMachineList(List<ListedMachine> machineList, double listLagS, double nowS) {
-        List<String> failed = new ArrayList<>();
-        Set<String> listedNames = new HashSet<>();
-        for (ListedMachine listed : machineList) {
-            listedNames.add(listed.name());
-        }
-        for (ListedMachine listed : machineList) {
-            if (departedAtS.containsKey(listed.name())) {
-                continue;
-            }
-            Machine machine = machines.get(listed.name());
-            if (listed.status() == ListedMachine.Status.FAILED) {
-                recordMachineGone(listed.name(), nowS, "failed");
-                failed.add(listed.name());
-                continue;
-            }
-            if (machine == null) {
-                machine = new Machine(listed.name(), nowS);
-                machine.rentedS = nowS - listed.ageS();
-                addMachine(machine);
-            }
-            machine.listedAsRunning |= listed.status() == ListedMachine.Status.RUNNING;
-            if (machine.type == null) {
-                machine.type = machineTypes.get(listed.type());
-            }
-            if (machine.zone == null) {
-                machine.zone = listed.zone();
-            }
-            if (!machine.hasReported) {
-                machine.spot = listed.spot();
-            }
-            if (machine.address == null) {
-                machine.address = listed.address();
-            }
-            if (Double.isNaN(machine.firstListedS)) {
-                machine.firstListedS = nowS;
-            }
-        }
-        for (Machine machine : machines.values()) {
-            // A machine that was listed once stays listed until it is gone, and no list is older than twice the lag.
-            machine.unlisted = !listedNames.contains(machine.name)
-                    && nowS - machine.firstListedS > 2 * listLagS + Constants.TIMING_MARGIN_S;
-        }
-        return failed;
+        return machineListHandler.applyMachineList(machineList, listLagS, nowS);
     }
 
     /** Sets the images that an earlier leader saw on a machine; they apply once the machine is known. */
