What proves a machine gone is the time that a list describes, not that an earlier list showed it

Cause: a machine counted as gone only once a list of the same term had shown it. A new leader knew the six from the job records and no list of its term ever showed them; their leases prove nothing to it, and with most machines silent no silence is trusted. Machines taken between their rental and the first list that would have shown them closed their zone in the same way.

Change: a list describes no time earlier than twice its lag before its first page was requested, and shows all machines that exist at that time. A machine existed from its rental on: by the answer, by the age in a list, or at the latest since it became known. A list that lacks it and describes a later time proves it gone, however the machine became known (MachineListing replaces firstListedS and unlisted). The time counts from the request, no longer from the application of the list.

Tests: in AttemptTerminationTest, machineIsUnlistedOnlyAfterTheListLag is replaced: its row "never listed, missing after 60 s: not unlisted" demanded the fault, and its row at 15 s ignored an age of 9 s; the new table has both sides of the limit for each way in which a machine becomes known.

Ruled out: room, the team's limit, wrong records, the restart by itself.

--- a/src/main/java/org/mountlug/Constants.java
+++ b/src/main/java/org/mountlug/Constants.java
@@ -352,6 +352,8 @@
     public static final int MIN_REMEMBERED_DEPARTED_MACHINES = 2000;
     /** Jobs finished in a term that are remembered, at least; twice the number of live jobs if that is more. */
     public static final int MIN_REMEMBERED_FINISHED_JOBS = 4000;
+    /** Multiple of the nominal lag by which a machine list lags at most. */
+    public static final double MAX_LIST_LAG_FACTOR = 2;
     /** Milliseconds between two reads of the machine list, which lags by seconds anyway. */
     public static final int MACHINE_LIST_INTERVAL_MS = 8000;
     /** Milliseconds between two reads of the machine types; prices change slowly. */
--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -560,11 +560,11 @@
     /**
      * Applies the cloud's machine list: adds unknown machines, and removes failed ones with their attempts.
      *
-     * @param listLagS seconds by which the machine list may lag behind
+     * @param describedSinceS earliest monotonic time in seconds that the list may describe
      * @return names of the failed machines, which are to be deleted in the cloud
      */
-    public List<String> applyMachineList(List<ListedMachine> machineList, double listLagS, double nowS) {
-        return machineListHandler.applyMachineList(machineList, listLagS, nowS);
+    public List<String> applyMachineList(List<ListedMachine> machineList, double describedSinceS, double nowS) {
+        return machineListHandler.applyMachineList(machineList, describedSinceS, nowS);
     }
 
     /** Sets the images that an earlier leader saw on a machine; they apply once the machine is known. */
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -63,7 +63,10 @@
     /** Monotonic time in seconds of the last report; before the first, the time at which the machine became known. */
     public double lastReportS;
 
-    /** Monotonic time in seconds at which the machine was rented, or first seen if that is unknown. */
+    /**
+     * Monotonic time in seconds by which the machine had been rented: when the rental was answered, or by the age that the
+     * machine list shows; when the machine became known if neither is known.
+     */
     public double rentedS;
     /** Whether the machine has reported to this leader. */
     public boolean hasReported;
@@ -74,10 +77,8 @@
     private double firstReportS = Double.NaN;
     /** Whether the machine list has shown the machine as running, so that it has booted even if it has not reported. */
     public boolean listedAsRunning;
-    /** Monotonic time in seconds at which the machine list first showed the machine, {@code NaN} if it has not. */
-    public double firstListedS = Double.NaN;
-    /** Whether the machine list no longer shows the machine, as the cloud has reclaimed it or it was returned. */
-    public boolean unlisted;
+    /** What the newest machine list shows of the machine. */
+    public MachineListing listing = MachineListing.PENDING;
     /** Monotonic time in seconds at which the cloud reclaims the machine, {@code NaN} while no reclaim is announced. */
     public double reclaimAtS = Double.NaN;
     /** Whether the machine is being returned; no new work is placed on it. */
--- a/src/main/java/org/mountlug/core/cluster/MachineListHandler.java
+++ b/src/main/java/org/mountlug/core/cluster/MachineListHandler.java
@@ -16,13 +16,13 @@
     }
 
     /**
-     * Adds the listed machines that are not known, removes failed ones with their attempts, and marks those that the list no
-     * longer shows.
+     * Adds the listed machines that are not known, removes failed ones with their attempts, and records for each machine
+     * what the list shows of it.
      *
-     * @param listLagS seconds by which the machine list may lag behind
+     * @param describedSinceS earliest monotonic time in seconds that the list may describe
      * @return names of the failed machines, which are to be deleted in the cloud
      */
-    List<String> applyMachineList(List<ListedMachine> machineList, double listLagS, double nowS) {
+    List<String> applyMachineList(List<ListedMachine> machineList, double describedSinceS, double nowS) {
         List<String> failed = new ArrayList<>();
         Set<String> listedNames = new HashSet<>();
         for (ListedMachine listed : machineList) {
@@ -38,21 +38,29 @@
             update(listed, nowS);
         }
         for (Machine machine : cluster.machines.values()) {
-            // A machine that was listed once stays listed until it is gone, and no list is older than twice the lag.
-            machine.unlisted = !listedNames.contains(machine.name)
-                    && nowS - machine.firstListedS > 2 * listLagS + Constants.TIMING_MARGIN_S;
+            machine.listing = listedNames.contains(machine.name)
+                    ? MachineListing.LISTED
+                    : listingOfMissing(machine, describedSinceS);
         }
         return failed;
     }
 
+    /**
+     * Returns what a list shows of a machine that it lacks. A list shows all machines that exist at the time it describes, so
+     * it does not matter whether an earlier list showed the machine.
+     */
+    private static MachineListing listingOfMissing(Machine machine, double describedSinceS) {
+        boolean rentedBefore = machine.rentedS + Constants.TIMING_MARGIN_S < describedSinceS;
+        return rentedBefore ? MachineListing.GONE : MachineListing.PENDING;
+    }
+
     /** Adds a listed machine if it is not known, and adopts what was not known of it. */
     private void update(ListedMachine listed, double nowS) {
         Machine machine = cluster.machines.get(listed.name());
         if (machine == null) {
-            machine = new Machine(listed.name(), nowS);
-            machine.rentedS = nowS - listed.ageS();
-            cluster.addMachine(machine);
+            machine = cluster.addMachine(new Machine(listed.name(), nowS));
         }
+        machine.rentedS = Math.min(machine.rentedS, nowS - listed.ageS());
         machine.listedAsRunning |= listed.status() == ListedMachine.Status.RUNNING;
         if (machine.type == null) {
             machine.type = cluster.type(listed.type());
@@ -66,8 +74,5 @@
         if (machine.address == null) {
             machine.address = listed.address();
         }
-        if (Double.isNaN(machine.firstListedS)) {
-            machine.firstListedS = nowS;
-        }
     }
 }
--- a/src/main/java/org/mountlug/core/scale/RentalPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/RentalPlanner.java
@@ -10,6 +10,7 @@
 import org.mountlug.Constants;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Objectives;
@@ -129,7 +130,7 @@
         if (machine.hasBooted() && cluster.silentS(machine, nowS) > leaseS) {
             // A silent machine that the cloud still lists is probably cut off by the network, and will report again
             // before a newly rented one is up.
-            boolean lost = machine.unlisted || Double.isNaN(machine.firstListedS) || closedZones.contains(machine.zone);
+            boolean lost = machine.listing != MachineListing.LISTED || closedZones.contains(machine.zone);
             return lost ? Double.NaN : machine.type.bootS();
         }
         if (machine.hasReported && machine.unreachable) {
--- a/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
@@ -9,6 +9,7 @@
 import org.mountlug.Constants;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.Placement;
 import org.mountlug.core.zone.ZoneMonitor;
@@ -109,7 +110,7 @@
         int up = 0;
         int silent = 0;
         for (Machine machine : cluster.machines.values()) {
-            if (!machine.hasBooted() && machine.placements.isEmpty() || machine.unlisted) {
+            if (!machine.hasBooted() && machine.placements.isEmpty() || machine.listing == MachineListing.GONE) {
                 continue;
             }
             up++;
@@ -151,7 +152,7 @@
         if (!machine.hasBooted() && machine.placements.isEmpty()) {
             return isBootTimedOut(machine, nowS) ? "never came up" : null;
         }
-        if (machine.unlisted && cluster.silentS(machine, nowS) > leaseS / 2) {
+        if (machine.listing == MachineListing.GONE && cluster.silentS(machine, nowS) > leaseS / 2) {
             return "taken";
         }
         if (cluster.silentS(machine, nowS) > silenceLimitS()) {
@@ -202,7 +203,7 @@
         if (inputs.disturbedZones.contains(machine.zone)) {
             return Constants.SILENT_ZONE_KEEP_S;
         }
-        return Double.isNaN(machine.firstListedS) ? 0 : bootS(machine) - Constants.SILENT_RETURN_MARGIN_S;
+        return machine.listing == MachineListing.LISTED ? bootS(machine) - Constants.SILENT_RETURN_MARGIN_S : 0;
     }
 
     private boolean isIdleTooLong(Machine machine, DecisionInputs inputs) {
--- a/src/main/java/org/mountlug/core/zone/ZoneMachineCounter.java
+++ b/src/main/java/org/mountlug/core/zone/ZoneMachineCounter.java
@@ -7,6 +7,7 @@
 import org.mountlug.Constants;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 
 /** Counts the reporting, late and silent machines of each zone. */
 final class ZoneMachineCounter {
@@ -24,7 +25,7 @@
     Map<String, ZoneCounts> count(double nowS) {
         Map<String, Tally> tallies = new HashMap<>();
         for (Machine machine : cluster.machines.values()) {
-            if (machine.hasBooted() && !machine.unlisted && machine.zone != null) {
+            if (machine.hasBooted() && machine.listing != MachineListing.GONE && machine.zone != null) {
                 tallies.computeIfAbsent(machine.zone, zone -> new Tally()).add(machine, nowS);
             }
         }
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -13,6 +13,7 @@
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.EventSummary;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 import org.mountlug.core.lead.Election;
 import org.mountlug.core.model.Command;
 import org.mountlug.core.model.Job;
@@ -130,11 +131,11 @@
         return term.nowS() - termStartedS;
     }
 
-    /** Returns the number of machines that have reported and have not disappeared from the machine list. */
+    /** Returns the number of machines that have reported and are not gone by the machine list. */
     int reportedMachineCount() {
         int count = 0;
         for (Machine machine : cluster.machines.values()) {
-            count += machine.hasReported && !machine.unlisted ? 1 : 0;
+            count += machine.hasReported && machine.listing != MachineListing.GONE ? 1 : 0;
         }
         return count;
     }
--- a/src/main/java/org/mountlug/node/MachineProvisioner.java
+++ b/src/main/java/org/mountlug/node/MachineProvisioner.java
@@ -66,6 +66,7 @@
             readMachineTypes(nowS);
         }
         if (nowS >= nextListS && !listInFlight) {
+            nextListS = nowS + Constants.MACHINE_LIST_INTERVAL_MS / 1000.0;
             listMachines(nowS, null, new ArrayList<>());
         }
     }
@@ -120,9 +121,13 @@
                         response -> machineTypesStored = response.status() == 200);
     }
 
-    private void listMachines(double nowS, String after, List<ListedMachine> machines) {
+    /**
+     * Requests the next page of the machine list, and applies the list after its last page.
+     *
+     * @param requestedS monotonic time in seconds at which the first page was requested
+     */
+    private void listMachines(double requestedS, String after, List<ListedMachine> machines) {
         listInFlight = true;
-        nextListS = nowS + Constants.MACHINE_LIST_INTERVAL_MS / 1000.0;
         String path = "/hosts?" + (after == null ? "" : "after=" + after + "&") + "page=500";
         cloud.call(Methods.GET, path, null, Constants.CLOUD_TIMEOUT_MS, response -> {
             listInFlight = false;
@@ -131,18 +136,18 @@
             }
             machines.addAll(CloudCodec.listedMachines(response.body()));
             if (CloudCodec.hasNextPage(response.body()) && !machines.isEmpty()) {
-                listMachines(nowS, machines.get(machines.size() - 1).name(), machines);
+                listMachines(requestedS, machines.get(machines.size() - 1).name(), machines);
             } else {
-                applyMachineList(machines);
+                applyMachineList(machines, requestedS);
             }
         });
     }
 
     /** Applies the machine list to the cluster, and returns machines that failed to the cloud. */
-    private void applyMachineList(List<ListedMachine> machines) {
+    private void applyMachineList(List<ListedMachine> machines, double requestedS) {
         hasMachineList = true;
-        double lagS = term.environment.settings().cloudListLagS();
-        List<String> failedMachines = term.cluster.applyMachineList(machines, lagS, term.nowS());
+        double maxLagS = term.environment.settings().cloudListLagS() * Constants.MAX_LIST_LAG_FACTOR;
+        List<String> failedMachines = term.cluster.applyMachineList(machines, requestedS - maxLagS, term.nowS());
         if (!failedMachines.isEmpty()) {
             cloud.call(
                     Methods.POST,
--- a/src/test/java/org/mountlug/core/AttemptTerminationTest.java
+++ b/src/test/java/org/mountlug/core/AttemptTerminationTest.java
@@ -15,10 +15,12 @@
 import org.mountlug.Fixtures;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 import org.mountlug.core.model.AttemptState;
 import org.mountlug.core.model.Command;
 import org.mountlug.core.model.ExitCause;
 import org.mountlug.core.model.Job;
+import org.mountlug.core.model.Placement;
 import org.mountlug.core.model.Priority;
 import org.mountlug.core.model.Report;
 import org.mountlug.core.model.Resources;
@@ -183,18 +185,49 @@
         assertTrue(job.placements.isEmpty());
     }
 
-    /** The machine list lags and may be older than the one before, but it shows a machine until the machine is gone. */
-    @ParameterizedTest(name = "listed at {0} s, missing at {1} s: unlisted {2}")
-    @CsvSource({"0, 15, false", "0, 21, true", "-1, 60, false"})
-    void machineIsUnlistedOnlyAfterTheListLag(double listedAtS, double missingAtS, boolean unlisted) {
-        if (listedAtS >= 0) {
-            cluster.applyMachineList(
-                    List.of(new ListedMachine("n-1", "x", "small", "a", false, ListedMachine.Status.RUNNING, 9)),
-                    10,
-                    listedAtS);
+    /**
+     * Guards against machines that never counted as gone because no list of this term had shown them. A list shows every
+     * machine that exists at the time it describes, so the time of the rental decides, however the machine became known.
+     */
+    @ParameterizedTest(name = "known by a {0} at 100 s, age {1} s; a list of {2} s lacks it: {3}")
+    @CsvSource({
+        "report, 0, 79, PENDING",
+        "report, 0, 100, PENDING",
+        "report, 0, 101, GONE",
+        "record, 0, 100, PENDING",
+        "record, 0, 101, GONE",
+        "rental, 0, 100, PENDING",
+        "rental, 0, 101, GONE",
+        "list, 0, 100, PENDING",
+        "list, 0, 101, GONE",
+        "list, 30, 70, PENDING",
+        "list, 30, 71, GONE",
+        "report and list, 30, 70, PENDING",
+        "report and list, 30, 71, GONE",
+        "record and list, 30, 71, GONE"
+    })
+    void aListProvesAMachineGoneIfItDescribesALaterTimeThanTheRental(
+            String knownBy, double ageS, double describedSinceS, MachineListing listing) {
+        List<ListedMachine> listWithMachine =
+                List.of(new ListedMachine("n-5", "x", "small", "a", false, ListedMachine.Status.RUNNING, ageS));
+        switch (knownBy.split(" ")[0]) {
+            case "report" -> cluster.handleReport(Fixtures.report("n-5", "small", "a", 1, 1, TOKEN), true, 100);
+            case "record" -> {
+                Job storedJob = new Job(Fixtures.array("wk-000005", 1));
+                storedJob.placements.put(0, new Placement(storedJob, 0, 1, "n-5", "a", 1, 0, 100));
+                cluster.loadJob(storedJob, 100);
+            }
+            case "rental" -> cluster.addRentedMachine("n-5", "small", "a", false, 100);
+            default -> cluster.applyMachineList(listWithMachine, 80, 100);
+        }
+        if (knownBy.endsWith("list")) {
+            cluster.applyMachineList(listWithMachine, 80, 100);
+            assertEquals(MachineListing.LISTED, cluster.machines.get("n-5").listing);
         }
-        cluster.applyMachineList(List.of(), 10, missingAtS);
-        assertEquals(unlisted, machine.unlisted);
+        cluster.applyMachineList(List.of(), describedSinceS, 130);
+        assertEquals(listing, cluster.machines.get("n-5").listing);
+        cluster.applyMachineList(listWithMachine, describedSinceS, 131);
+        assertEquals(MachineListing.LISTED, cluster.machines.get("n-5").listing, "by an older list");
     }
 
     @Test
--- a/src/test/java/org/mountlug/core/ScalerTest.java
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -13,6 +13,7 @@
 import org.mountlug.Fixtures;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.Objectives;
 import org.mountlug.core.model.Priority;
@@ -261,7 +262,8 @@
     }
 
     /** There are five machines in zone a, some of which are silent, and two reporting machines in zone b. */
-    @ParameterizedTest(name = "{0} silent for {1} s, listed by the cloud {2}, then unlisted {3}: {4} returned")
+    @ParameterizedTest(
+            name = "{0} silent for {1} s, listed by the cloud {2}, then gone from the list {3}: {4} returned")
     @CsvSource({
         "1, 17, false, false, 1",
         "1, 17, true, false, 0",
@@ -272,7 +274,7 @@
         "3, 7, true, true, 3"
     })
     void silentMachinesAreKeptWhileTheCloudStillListsThem(
-            int silent, double silentS, boolean listed, boolean unlisted, int returned) {
+            int silent, double silentS, boolean listed, boolean gone, int returned) {
         for (int i = 0; i < 7; i++) {
             Fixtures.addMachine(cluster, "n-" + i, "small", i < 5 ? "a" : "b");
         }
@@ -283,9 +285,8 @@
             boolean isSilent = Integer.parseInt(machine.name.substring(2)) < silent;
             machine.lastReportS = isSilent ? 0 : silentS;
             if (isSilent && listed) {
-                machine.firstListedS = 0;
+                machine.listing = gone ? MachineListing.GONE : MachineListing.LISTED;
             }
-            machine.unlisted = isSilent && unlisted;
         }
         assertEquals(returned, scaler.planReturns(silentS, 0).size());
     }
--- a/src/test/java/org/mountlug/core/zone/ZoneMonitorTest.java
+++ b/src/test/java/org/mountlug/core/zone/ZoneMonitorTest.java
@@ -18,6 +18,7 @@
 import org.mountlug.core.allocate.ReplicaStartTimes;
 import org.mountlug.core.cluster.Cluster;
 import org.mountlug.core.cluster.Machine;
+import org.mountlug.core.cluster.MachineListing;
 import org.mountlug.core.model.Job;
 import org.mountlug.core.model.JobSpec;
 import org.mountlug.core.model.JobType;
@@ -348,11 +349,14 @@
 
     /** Machines that the cloud does not list any more are gone; many of them at a time do not make their zone lost. */
     @Test
-    void unlistedMachinesAreNotCounted() {
+    void machinesGoneByTheMachineListAreNotCounted() {
         addMachines("a", MACHINES);
         addMachines("b", 3);
         advanceSeconds(3, "a", "b");
-        cluster.machines.values().forEach(machine -> machine.unlisted = machine.zone.equals("a"));
+        cluster.machines
+                .values()
+                .forEach(machine ->
+                        machine.listing = machine.zone.equals("a") ? MachineListing.GONE : MachineListing.LISTED);
         advanceSeconds(20, "b");
         assertEquals(ZoneState.PRESENT, zones.state("a"));
     }
--- a/src/test/java/org/mountlug/node/FakeCloud.java
+++ b/src/test/java/org/mountlug/node/FakeCloud.java
@@ -18,8 +18,8 @@
  * list that may lag.
  */
 final class FakeCloud {
-    /** Seconds from a request to its response. */
-    private static final double RESPONSE_DELAY_S = 0.1;
+    /** Seconds from a request to its execution. */
+    private static final double REQUEST_DELAY_S = 0.1;
     /** Seconds after a crash from which the machine list shows the machine as failed. */
     private static final double FAILURE_LISTED_AFTER_S = 30;
 
@@ -39,6 +39,8 @@
     final Set<String> zonesRefusingRentals = new HashSet<>();
     /** Whether every request gets status 503. */
     boolean down;
+    /** Seconds from the execution of a request to its response. */
+    double responseDelayS;
     /** Seconds by which the machine list lags: so long it lacks a new machine, and still shows one that is gone. */
     double listLagS;
     /** The machines that were returned or taken back, in the order of their names. */
@@ -58,9 +60,14 @@
             Map<String, Object> body,
             int timeoutMs,
             Consumer<PooledHttpClient.Response> then) {
-        cluster.schedule(RESPONSE_DELAY_S, () -> {
+        cluster.schedule(REQUEST_DELAY_S, () -> {
             Reply reply = handleRequest(path, body);
-            then.accept(new PooledHttpClient.Response(reply.status, reply.body, true));
+            PooledHttpClient.Response response = new PooledHttpClient.Response(reply.status, reply.body, true);
+            if (responseDelayS > 0) {
+                cluster.schedule(responseDelayS, () -> then.accept(response));
+            } else {
+                then.accept(response);
+            }
         });
     }
 
