A machine that was taken while it booted is returned at once

Cause: for a machine that had not come up only the boot timeout was looked at, so work was assigned to one that the machine list proves gone until it was overdue, and its pool was blamed for a failed boot.

Change: ReturnPlanner looks at the proof by the machine list first.

Result: ScalerTest.aMachineTakenWhileItBootsIsReplaced failed before in the 3 of 6 rows in which the machine is gone, and passes; ScalerTest, DepartedMachinesTest, SingleFaultsTest, ZoneLossTest, LargeFleetTest, ServicesTest pass.

--- a/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
@@ -149,12 +149,12 @@
     /** Returns why a machine is to be returned, or null if it is kept. */
     private String returnReason(Machine machine, DecisionInputs inputs) {
         double nowS = inputs.nowS;
-        if (!machine.hasBooted() && machine.placements.isEmpty()) {
-            return isBootTimedOut(machine, nowS) ? "never came up" : null;
-        }
         if (machine.listing == MachineListing.GONE && cluster.silentS(machine, nowS) > leaseS / 2) {
             return "taken";
         }
+        if (!machine.hasBooted() && machine.placements.isEmpty()) {
+            return isBootTimedOut(machine, nowS) ? "never came up" : null;
+        }
         if (cluster.silentS(machine, nowS) > silenceLimitS()) {
             return inputs.silenceTrusted
                             && cluster.silentS(machine, nowS) > silenceLimitS() + silentKeepS(machine, inputs)
--- a/src/test/java/org/mountlug/core/ScalerTest.java
+++ b/src/test/java/org/mountlug/core/ScalerTest.java
@@ -190,6 +190,40 @@
         assertEquals(List.of("n-1"), scaler.planReturns(120, 0));
     }
 
+    /**
+     * Guards against counting on a machine that was taken while it booted: its work waited until the machine was overdue, and
+     * its pool was blamed for a machine that never came up.
+     */
+    @ParameterizedTest(name = "rented by {0} leader, listed {1}, missing from a list of {2} s: replaced {3}")
+    @CsvSource({
+        "this, false, -1, false",
+        "this, false, 1, true",
+        "this, true, -1, false",
+        "this, true, 1, true",
+        "an earlier, true, -1, false",
+        "an earlier, true, 1, true"
+    })
+    void aMachineTakenWhileItBootsIsReplaced(
+            String rentedBy, boolean listed, double describedSinceS, boolean replaced) {
+        Fixtures.addJob(cluster, Fixtures.array("wk-000001", 1));
+        if (rentedBy.equals("this")) {
+            cluster.addRentedMachine("n-1", "small", "a", true, 0);
+        }
+        if (listed) {
+            cluster.applyMachineList(
+                    List.of(new ListedMachine("n-1", "x:1", "small", "a", true, ListedMachine.Status.BOOTING, 0)),
+                    -20,
+                    0);
+        }
+        cluster.applyMachineList(List.of(), describedSinceS, 22);
+        List<String> returned = scaler.planReturns(22, 22);
+        assertEquals(replaced ? List.of("n-1") : List.of(), returned);
+        returned.forEach(name -> cluster.recordMachineGone(name, 22, "returned"));
+        List<RentalRequest> rentals = scaler.planRentals(23, 23);
+        assertEquals(replaced ? 1 : 0, rentals.size());
+        rentals.forEach(rental -> assertEquals("small in a spot", rental.pool().toString()));
+    }
+
     @Test
     void oneSilentMachineIsReturnedButNotWhenMostAreSilent() {
         for (int i = 0; i < 5; i++) {
