Machines that never reported to a new leader count as silent in the metrics

Change: every machine that has booted, by a report, the list or a placement, counts. Machine.isBooting replaces three copies of its condition.

--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -211,8 +211,8 @@
         int silent = 0;
         int quarantined = 0;
         for (Machine machine : machines.values()) {
-            booting += machine.hasBooted() || !machine.placements.isEmpty() ? 0 : 1;
-            silent += machine.hasReported && silentS(machine, nowS) > leaseS ? 1 : 0;
+            booting += machine.isBooting() ? 1 : 0;
+            silent += !machine.isBooting() && silentS(machine, nowS) > leaseS ? 1 : 0;
             quarantined += machine.quarantined ? 1 : 0;
         }
         return new FleetStatus(
--- a/src/main/java/org/mountlug/core/cluster/FleetStatus.java
+++ b/src/main/java/org/mountlug/core/cluster/FleetStatus.java
@@ -3,7 +3,7 @@
 /**
  * Counts of the leader's jobs and machines by state, for operators.
  *
- * @param silent machines that have reported, but not within the last worker lease
+ * @param silent machines that have booted, but have not reported to this leader within the last worker lease
  * @param lostAttempts attempts that have ended without a result in this term
  * @param failedAttempts attempts that have failed in this term
  */
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -189,6 +189,11 @@
         return hasReported || listedAsRunning;
     }
 
+    /** Whether nothing shows that the machine has booted: no report, no machine list and no placement. */
+    public boolean isBooting() {
+        return !hasBooted() && placements.isEmpty();
+    }
+
     /** Whether new work may be placed here. */
     public boolean isSchedulable() {
         return type != null
--- a/src/main/java/org/mountlug/core/scale/RentalPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/RentalPlanner.java
@@ -142,7 +142,7 @@
             return zones.acceptsWork(machine.zone) ? 0 : Double.NaN;
         }
         // An overdue machine may still come up, and is then used or returned; queued work does not wait for it.
-        if (!machine.hasBooted() && machine.placements.isEmpty() && bootHistory.isOverdue(machine, nowS)) {
+        if (machine.isBooting() && bootHistory.isOverdue(machine, nowS)) {
             return Double.NaN;
         }
         return Math.max(1, machine.rentedS + bootHistory.expectedBootS(machine, nowS) - nowS);
--- a/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/ReturnPlanner.java
@@ -110,7 +110,7 @@
         int up = 0;
         int silent = 0;
         for (Machine machine : cluster.machines.values()) {
-            if (!machine.hasBooted() && machine.placements.isEmpty() || machine.listing == MachineListing.GONE) {
+            if (machine.isBooting() || machine.listing == MachineListing.GONE) {
                 continue;
             }
             up++;
@@ -152,7 +152,7 @@
         if (machine.listing == MachineListing.GONE && cluster.silentS(machine, nowS) > leaseS / 2) {
             return "taken";
         }
-        if (!machine.hasBooted() && machine.placements.isEmpty()) {
+        if (machine.isBooting()) {
             return isBootTimedOut(machine, nowS) ? "never came up" : null;
         }
         if (cluster.silentS(machine, nowS) > silenceLimitS()) {
--- a/src/test/java/org/mountlug/node/ObservabilityTest.java
+++ b/src/test/java/org/mountlug/node/ObservabilityTest.java
@@ -93,6 +93,22 @@
                 "the metric did not rise above " + valueBefore);
     }
 
+    /** Machines that a new leader knows from the job records alone count as silent, or nothing would show that they are. */
+    @Test
+    void machinesThatNeverReportedToANewLeaderCountAsSilent() {
+        SimulatedCluster cluster = new SimulatedCluster(3);
+        cluster.taskDurationS = 100;
+        cluster.submitUntilAccepted(jobId(1), 24, false);
+        assertTrue(FaultTestSteps.runUntilStarted(cluster, 24));
+        List<SimulatedCluster.Worker> taken = List.copyOf(cluster.workers.values());
+        taken.forEach(cluster.cloud::take);
+        cluster.cloud.down = true;
+        cluster.controllers.forEach(process -> process.restartAfter(2));
+        cluster.runFor(20);
+        assertEquals(taken.size(), readMetric(cluster.leader(), "mountlug_machines_silent"));
+        assertEquals(0, readMetric(cluster.leader(), "mountlug_machines_booting"));
+    }
+
     private static double readMetric(SimulatedCluster.ControllerProcess controller, String metric) {
         for (String line : controller.controller.metrics().scrape().split("\n")) {
             if (line.startsWith(metric + " ")) {
