Seeded faults: most machines are taken while lists lag, vary and arrive out of order

Change: a third test draws MACHINES_TAKEN first and any fault later, with zones tracked and lists up to twice their lag old. The draws of the other two tests stay as they were.

--- a/src/test/java/org/mountlug/node/FakeCloud.java
+++ b/src/test/java/org/mountlug/node/FakeCloud.java
@@ -23,6 +23,9 @@
     /** Seconds after a crash from which the machine list shows the machine as failed. */
     private static final double FAILURE_LISTED_AFTER_S = 30;
 
+    /** Step by which the share of the lag's spread changes from page to page. */
+    private static final double LAG_SPREAD_STEP = 0.618;
+
     /** Machines on a page of the machine list. */
     private static final int PAGE_SIZE = 500;
 
@@ -43,6 +46,10 @@
     double responseDelayS;
     /** Seconds by which the machine list lags: so long it lacks a new machine, and still shows one that is gone. */
     double listLagS;
+    /** Most seconds by which a page of the list lags beyond {@link #listLagS}; it varies, so a list may be older than the last. */
+    double listLagSpreadS;
+    /** Share of {@link #listLagSpreadS} that applies to the next page. */
+    private double lagSpreadShare;
     /** The machines that were returned or taken back, in the order of their names. */
     private final Map<String, DepartedMachine> departedMachines = new TreeMap<>();
 
@@ -129,7 +136,8 @@
 
     private Map<String, Object> page(String path) {
         String after = path.contains("after=") ? path.replaceAll(".*after=([^&]*).*", "$1") : "";
-        double listedAtS = cluster.nowS - listLagS;
+        lagSpreadShare = (lagSpreadShare + LAG_SPREAD_STEP) % 1;
+        double listedAtS = cluster.nowS - listLagS - listLagSpreadS * lagSpreadShare;
         List<Object> machines = new ArrayList<>();
         for (SimulatedCluster.Worker worker :
                 machinesAt(listedAtS).tailMap(after, false).values()) {
--- a/src/test/java/org/mountlug/node/InjectedFault.java
+++ b/src/test/java/org/mountlug/node/InjectedFault.java
@@ -236,6 +236,12 @@
             String id = FaultTestSteps.jobId(firstNumber + i);
             cluster.schedule(i * 0.25, () -> process.submitAsync(id, 1, false, idleArray));
         }
+    }),
+    /** The cloud takes about two thirds of the machines back without a notice; all of them once in four times. */
+    MACHINES_TAKEN(context -> {
+        SimulatedCluster cluster = context.cluster();
+        boolean all = context.random().nextInt(4) == 0;
+        List.copyOf(all ? cluster.workers.values() : context.someMachines()).forEach(cluster.cloud::take);
     });
 
     private final Consumer<FaultContext> injection;
@@ -253,6 +259,9 @@
     /** Number of original faults, declared before the newer ones; seeds of the test without newer faults draw only these. */
     static final int ORIGINAL_COUNT = LEADER_CUT_FROM_WORKERS.ordinal() + 1;
 
+    /** Number of original and newer faults; seeds of the tests without {@link #MACHINES_TAKEN} draw only these. */
+    static final int NEWER_COUNT = BEST_EFFORT_TEAM.ordinal() + 1;
+
     /**
      * What a fault affects.
      *
--- a/src/test/java/org/mountlug/node/SeededFaultsTest.java
+++ b/src/test/java/org/mountlug/node/SeededFaultsTest.java
@@ -9,12 +9,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.mountlug.core.model.Team;
+import org.mountlug.core.zone.ZoneSettings;
+import org.mountlug.settings.OperatorSettings;
 
 /**
  * Runs a load with two to four randomly drawn faults that overlap, with all checks of the simulated cluster. A failing seed is
  * run again with {@code -Dmountlug.seeds=SEED..SEED}, and gets a test of its own once its cause is known.
  */
 class SeededFaultsTest {
+    /** Most seconds by which the machine list lags: twice the lag in the controllers' settings. */
+    private static final double MAX_LIST_LAG_S = 20;
     /** The range of seeds without {@code -Dmountlug.seeds}. */
     private static final String DEFAULT_SEEDS = "1..60";
 
@@ -26,37 +30,62 @@
     @ParameterizedTest(name = "seed {0}")
     @MethodSource("seeds")
     void overlappingFaultsCauseNoViolation(long seed) {
-        runSeed(seed, false);
+        runSeed(seed, FirstFault.ORIGINAL);
     }
 
     /** The first fault is a newer one: a long pause, partial partition, slow boots, polls, failing jobs, a best-effort team. */
     @ParameterizedTest(name = "seed {0}")
     @MethodSource("seeds")
     void overlappingFaultsWithANewerOneCauseNoViolation(long seed) {
-        runSeed(seed, true);
+        runSeed(seed, FirstFault.NEWER);
     }
 
-    /** Draws an original fault; {@code withNewerFaults}, draws a newer one first and any of all faults later. */
-    private static InjectedFault drawFault(SplittableRandom random, boolean withNewerFaults, boolean first) {
-        int faultCount = InjectedFault.values().length;
-        if (!withNewerFaults) {
-            return InjectedFault.values()[random.nextInt(InjectedFault.ORIGINAL_COUNT)];
+    /** The cloud takes most machines back while its list lags; zones are tracked, and any other fault may follow. */
+    @ParameterizedTest(name = "seed {0}")
+    @MethodSource("seeds")
+    void overlappingFaultsWithMachinesTakenCauseNoViolation(long seed) {
+        runSeed(seed, FirstFault.MACHINES_TAKEN);
+    }
+
+    /** The kind of the first fault; only original faults follow an original one, and others follow the rest. */
+    private enum FirstFault {
+        ORIGINAL,
+        NEWER,
+        MACHINES_TAKEN
+    }
+
+    private static InjectedFault drawFault(SplittableRandom random, FirstFault firstFault, boolean first) {
+        if (first && firstFault == FirstFault.MACHINES_TAKEN) {
+            return InjectedFault.MACHINES_TAKEN;
         }
-        return InjectedFault.values()[
-                first
-                        ? InjectedFault.ORIGINAL_COUNT + random.nextInt(faultCount - InjectedFault.ORIGINAL_COUNT)
-                        : random.nextInt(faultCount)];
+        int from = first && firstFault == FirstFault.NEWER ? InjectedFault.ORIGINAL_COUNT : 0;
+        int to =
+                switch (firstFault) {
+                    case ORIGINAL -> InjectedFault.ORIGINAL_COUNT;
+                    case NEWER -> InjectedFault.NEWER_COUNT;
+                    case MACHINES_TAKEN -> InjectedFault.values().length;
+                };
+        return InjectedFault.values()[from + random.nextInt(to - from)];
     }
 
-    private static void runSeed(long seed, boolean withNewerFaults) {
+    private static void runSeed(long seed, FirstFault firstFault) {
+        ZoneSettings zones =
+                firstFault == FirstFault.MACHINES_TAKEN ? ZoneSettings.defaults() : ZoneSettings.disabled();
         SplittableRandom random = new SplittableRandom(seed);
         SimulatedCluster cluster = new SimulatedCluster(
                 random.nextBoolean() ? 3 : 5,
                 List.of(new Team("t", 0, 40, 0, 0, 1), new Team("u", 8, 16, 0, 0, 1), new Team("guest", 0, 0, 0, 0, 1)),
-                random.nextBoolean() ? 10 : 16);
+                random.nextBoolean() ? 10 : 16,
+                false,
+                8,
+                8,
+                OperatorSettings.defaults().withZones(zones));
         cluster.cloud.zones = random.nextBoolean() ? List.of("a") : List.of("a", "b");
         cluster.machineBootS = 0.5 + random.nextDouble() * 3;
         cluster.cloud.listLagS = random.nextDouble() * 15;
+        if (firstFault == FirstFault.MACHINES_TAKEN) {
+            cluster.cloud.listLagSpreadS = MAX_LIST_LAG_S - cluster.cloud.listLagS;
+        }
         cluster.cloud.capacity = 16 + random.nextInt(20);
         cluster.taskDurationS = 4 + random.nextInt(40);
         cluster.runFor(5);
@@ -93,7 +122,7 @@
         StringBuilder description = new StringBuilder();
         double lastEndS = 0;
         for (int i = 0; i < faultCount; i++) {
-            InjectedFault fault = drawFault(random, withNewerFaults, i == 0);
+            InjectedFault fault = drawFault(random, firstFault, i == 0);
             double durationS =
                     switch (random.nextInt(4)) {
                         case 0 -> 0.1 + random.nextDouble() * 2;
