An answer without a machine list proves no machine gone

Cause: a 200 without a body was read as a list of no machine, so every silent machine counted as gone, living ones that were cut off among them. Found while weighing missing lists; whether the HTTP client ever hands on such an answer is not shown.

Change: an answer that holds no list is ignored, as one of another status is.

Result: DepartedMachinesTest.aResponseWithoutAMachineListProvesNothing failed before (the cut-off machines were returned) and passes.

--- a/src/main/java/org/mountlug/cloud/CloudCodec.java
+++ b/src/main/java/org/mountlug/cloud/CloudCodec.java
@@ -84,6 +84,11 @@
         return Map.of("rigs", names);
     }
 
+    /** Whether the message holds a page of the machine list; one that was cut off may hold nothing, which is no empty list. */
+    public static boolean hasMachineList(Map<String, Object> message) {
+        return message.get("rigs") instanceof List;
+    }
+
     /** Returns the machines on one page of the machine list. */
     public static List<ListedMachine> listedMachines(Map<String, Object> message) {
         List<ListedMachine> machines = new ArrayList<>();
--- a/src/main/java/org/mountlug/node/MachineProvisioner.java
+++ b/src/main/java/org/mountlug/node/MachineProvisioner.java
@@ -131,7 +131,7 @@
         String path = "/hosts?" + (after == null ? "" : "after=" + after + "&") + "page=500";
         cloud.call(Methods.GET, path, null, Constants.CLOUD_TIMEOUT_MS, response -> {
             listInFlight = false;
-            if (term.hasEnded() || response.status() != 200) {
+            if (term.hasEnded() || response.status() != 200 || !CloudCodec.hasMachineList(response.body())) {
                 return;
             }
             machines.addAll(CloudCodec.listedMachines(response.body()));
--- a/src/test/java/org/mountlug/node/DepartedMachinesTest.java
+++ b/src/test/java/org/mountlug/node/DepartedMachinesTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mountlug.core.model.Team;
@@ -138,6 +139,25 @@
         assertSettles(cluster, 100);
     }
 
+    /** Guards against taking all silent machines for gone because a response without a body was read as an empty list. */
+    @Test
+    void aResponseWithoutAMachineListProvesNothing() {
+        SimulatedCluster cluster = createCluster("a", 10);
+        cluster.taskDurationS = 100;
+        cluster.submitUntilAccepted(jobId(1), 24, false);
+        assertTrue(runUntilStarted(cluster, 24));
+        cluster.runFor(20);
+        cluster.cloud.listsWithoutBody = true;
+        List<SimulatedCluster.Worker> cutOff = List.copyOf(cluster.workers.values());
+        cutOff.forEach(worker -> worker.disconnected = true);
+        cluster.runFor(30);
+        assertTrue(cluster.workers.values().containsAll(cutOff), "no living machine is returned");
+        cluster.cloud.listsWithoutBody = false;
+        cutOff.forEach(worker -> worker.disconnected = false);
+        cluster.taskDurationS = 5;
+        assertSettles(cluster, 150);
+    }
+
     /**
      * Guards against taking living machines for gone: young ones that no list shows yet, and that are cut off, also while the
      * leader changes, lists arrive late or the cloud is down.
--- a/src/test/java/org/mountlug/node/FakeCloud.java
+++ b/src/test/java/org/mountlug/node/FakeCloud.java
@@ -42,6 +42,8 @@
     final Set<String> zonesRefusingRentals = new HashSet<>();
     /** Whether every request gets status 503. */
     boolean down;
+    /** Whether the responses to requests for the machine list have no body. */
+    boolean listsWithoutBody;
     /** Seconds from the execution of a request to its response. */
     double responseDelayS;
     /** Seconds by which the machine list lags: so long it lacks a new machine, and still shows one that is gone. */
@@ -97,7 +99,7 @@
                         ? new Reply(503, Map.of("error", "no capacity"))
                         : new Reply(200, Map.of("rigs", names));
             default:
-                return new Reply(200, page(path));
+                return new Reply(200, listsWithoutBody ? Map.of() : page(path));
         }
     }
 
