--- a/src/test/java/org/mountlug/node/DepartedMachinesTest.java
+++ b/src/test/java/org/mountlug/node/DepartedMachinesTest.java
@@ -53,14 +53,25 @@
     }
 
     /**
-     * Guards against a leader that took returned machines, which the lagging list made known to it, for silent ones, and
-     * rented no machine any more where most machines seemed silent.
+     * Guards against a leader that took idle machines which were returned or taken before its term, and which the lagging list
+     * made known to it, for silent ones, and rented no machine any more where most machines seemed silent.
      */
-    @ParameterizedTest(name = "zones {0}, list {1} s late, the leader ends {2} s after the return")
-    @CsvSource({"a, 10, 3", "a, 10, 8", "a, 20, 3", "a, 20, 12", "a b, 10, 3"})
-    void aZoneWhoseIdleMachinesWereReturnedBeforeAHandoverIsRentedInAgain(
-            String zones, double listLagS, double leaderEndsAfterS) {
+    @ParameterizedTest(name = "zones {0}, list {1} s late, idle machines {2}, the leader ends {3} s later")
+    @CsvSource({
+        "a, 10, returned, 3",
+        "a, 10, returned, 8",
+        "a, 20, returned, 3",
+        "a, 20, returned, 12",
+        "a b, 10, returned, 3",
+        "a, 10, taken, 2",
+        "a b, 10, taken, 2"
+    })
+    void aZoneThatLostItsIdleMachinesBeforeAHandoverIsRentedInAgain(
+            String zones, double listLagS, String departure, double leaderEndsAfterS) {
         SimulatedCluster cluster = createIdleCluster(zones, listLagS, 24);
+        if (departure.equals("taken")) {
+            List.copyOf(cluster.workers.values()).forEach(cluster.cloud::take);
+        }
         assertTrue(cluster.runUntil(60, () -> cluster.workers.size() <= 1), "idle machines are returned");
         cluster.runFor(leaderEndsAfterS);
         cluster.leader().restartAfter(5);
