--- a/src/test/java/org/mountlug/node/InjectedFault.java
+++ b/src/test/java/org/mountlug/node/InjectedFault.java
@@ -56,7 +56,7 @@
     /** Responses to reports of some machines are lost, and direct commands reach them only when the fault ends. */
     MACHINE_INBOUND_BLOCKED(context -> {
         context.affectSomeMachines(worker -> worker.inboundBlocked = true, worker -> worker.inboundBlocked = false);
-        context.atEnd(() -> runHeld(context.cluster().heldCommands));
+        context.atEnd(() -> runHeld(context.cluster().commandNetwork.heldCalls));
     }),
     /** A third of the machines that were drawn for the fault crash and do not return. */
     MACHINES_CRASH(context -> context.someMachines()
@@ -64,8 +64,8 @@
             .forEach(SimulatedCluster.Worker::crash)),
     /** Direct commands are delayed. */
     COMMANDS_DELAYED(context -> {
-        context.cluster().commandDelayS = 0.5 + context.random().nextDouble() * 8;
-        context.atEnd(() -> context.cluster().commandDelayS = 0);
+        context.cluster().commandNetwork.delayS = 0.5 + context.random().nextDouble() * 8;
+        context.atEnd(() -> context.cluster().commandNetwork.delayS = 0);
     }),
     /** Old reports arrive again at every controller that runs. */
     REPORTS_REPLAYED(context -> {
--- a/src/test/java/org/mountlug/node/LateMessageFaultsTest.java
+++ b/src/test/java/org/mountlug/node/LateMessageFaultsTest.java
@@ -326,7 +326,7 @@
         cluster.submitUntilAccepted(jobId(9), 8, false);
         assertTrue(runUntilStarted(cluster, 8));
         cluster.runFor(3);
-        cluster.commandDelayS = commandDelayS;
+        cluster.commandNetwork.delayS = commandDelayS;
         submit(cluster, 1, jobType, 6);
         submit(cluster, 2, jobType, 4);
         cluster.runFor(1.2);
@@ -343,7 +343,7 @@
         }
         cluster.runFor(SimulatedCluster.CANCEL_DEADLINE_S + 2);
         assertEquals(0, activeTaskCount(cluster, jobId(1)));
-        cluster.commandDelayS = 0;
+        cluster.commandNetwork.delayS = 0;
         cluster.taskDurationS = 5;
         if (jobType.equals("service")) {
             cluster.controllers.get(0).cancel(jobId(2));
--- a/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
+++ b/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
@@ -330,7 +330,7 @@
                 new SimulatedCluster(3, List.of(new Team("t", 0, 0, 0, 0, 1), new Team("u", 8, 0, 0, 0, 1)));
         cluster.cloud.capacity = 4;
         cluster.taskDurationS = 45;
-        cluster.commandDelayS = delayS;
+        cluster.commandNetwork.delayS = delayS;
         cluster.stateService.extraLatencyS = delayS / 4;
         for (int i = 1; i <= 4; i++) {
             cluster.submitUntilAccepted(jobId(i), 10, false, Map.of("urgency", "idle"));
@@ -355,7 +355,7 @@
                     activeTaskCount(cluster, jobId(i)),
                     "services of priority prod have displaced jobs of priority idle");
         }
-        cluster.commandDelayS = 0;
+        cluster.commandNetwork.delayS = 0;
         cluster.stateService.extraLatencyS = 0;
         cluster.taskDurationS = 6;
         for (int i = 12; i <= 14; i += 2) {
--- a/src/test/java/org/mountlug/node/SimulatedCluster.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -99,6 +99,8 @@
 
     /** All task starts, in order of time. */
     final List<TaskStart> startLog = new ArrayList<>();
+    /** Keys of all attempts that were started on any machine. */
+    private final java.util.Set<String> startedAttempts = new java.util.HashSet<>();
     /** Number of task starts of each job, on all machines. */
     final Map<String, Integer> startsByJob = new HashMap<>();
     /** Ids of the services, whose replicas run until they are stopped. */
@@ -107,10 +109,8 @@
     ExitCause replicaExitCause;
     /** Whether connections between controllers are refused. */
     boolean peersRefuseConnections;
-    /** Seconds by which direct commands reach workers late; while positive, each also ends in a timeout. */
-    double commandDelayS;
-    /** Direct commands to workers whose inbound traffic is blocked, for a test to deliver late. */
-    final List<Runnable> heldCommands = new ArrayList<>();
+    /** The way of direct commands to the workers. */
+    final DirectCommandNetwork commandNetwork = new DirectCommandNetwork(this);
 
     int machinesRented;
     /** The longest time, in seconds, from an acknowledged cancellation to a start of that job; negative if none was started. */
@@ -535,7 +535,7 @@
                     runsProductionVersion ? OperatorSettings.defaults() : operators,
                     stateClient,
                     boundToIncarnation(ownIncarnation, cloud::call),
-                    address -> boundToIncarnation(ownIncarnation, commandTransport(address, this)),
+                    address -> boundToIncarnation(ownIncarnation, commandNetwork.transport(address, this)),
                     () -> nowS,
                     this::epochMs,
                     (action, delayMs) -> schedule(
@@ -858,44 +858,6 @@
         return "unanswered";
     }
 
-    /** Returns the transport for direct commands from a controller to the worker at the address. */
-    private HttpTransport commandTransport(String address, ControllerProcess from) {
-        return (method, path, body, timeoutMs, then) -> {
-            Worker worker = workers.get(address);
-            if (worker == null || !worker.reaches(from)) {
-                schedule(timeoutMs / 1000.0, () -> then.accept(new PooledHttpClient.Response(0, Map.of(), false)));
-                return;
-            }
-            boolean[] answered = new boolean[1];
-            Runnable deliver = () -> worker.handleCommands(
-                    body,
-                    response -> schedule(0.001, () -> {
-                        if (!answered[0]) {
-                            then.accept(response);
-                        }
-                        answered[0] = true;
-                    }));
-            if (worker.hungUntilS > nowS) {
-                schedule(timeoutMs / 1000.0, () -> {
-                    if (!answered[0]) {
-                        then.accept(new PooledHttpClient.Response(0, Map.of(), true));
-                    }
-                    answered[0] = true;
-                });
-            }
-            if (!worker.inboundBlocked && commandDelayS == 0) {
-                schedule(0.001, deliver);
-            } else {
-                if (worker.inboundBlocked) {
-                    heldCommands.add(deliver);
-                } else {
-                    schedule(commandDelayS, deliver);
-                }
-                schedule(timeoutMs / 1000.0, () -> then.accept(new PooledHttpClient.Response(0, Map.of(), true)));
-            }
-        };
-    }
-
     // ---- machines ---------------------------------------------------------------------------------------------
 
     Worker addMachine(String zone) {
@@ -975,6 +937,8 @@
         final List<Report> sentReports = new ArrayList<>();
 
         int startCount;
+        /** The cause with which starts are refused; null if they are accepted. */
+        ExitCause refusalCause;
 
         Worker(String name, String zone) {
             this.name = name;
@@ -1190,9 +1154,9 @@
             List<Object> pieces = new ArrayList<>();
             for (Report.AttemptStatus attempt : report.attempts()) {
                 boolean waitsForGang = attempt.state() == AttemptState.WAITING_FOR_GANG;
-                String cause = attempt.cause() == ExitCause.DONE
-                        ? "done"
-                        : attempt.cause() == ExitCause.STOPPED ? "halted" : null;
+                String cause = attempt.cause() == ExitCause.STOPPED
+                        ? "halted"
+                        : attempt.cause().name().toLowerCase(java.util.Locale.ROOT);
                 pieces.add(Fields.orderedMap(
                         "piece",
                         attempt.jobId() + "/" + attempt.task(),
@@ -1227,6 +1191,9 @@
                     if (task != null) {
                         return;
                     }
+                    if (!startedAttempts.add(key)) {
+                        recordViolation("attempt started again: " + key + " on " + name);
+                    }
                     if (stateService.value("j/" + job) == null && stateService.value("f/" + job) == null) {
                         recordViolation("started without a job record: " + job);
                     }
@@ -1259,7 +1226,10 @@
                     startsByJob.merge(job, 1, Integer::sum);
                     startLog.add(new TaskStart(nowS, job, index, zone, name));
                     task = new Task(job, index, command.attempt());
-                    if (gangs.getOrDefault(job, false)) {
+                    if (refusalCause != null) {
+                        task.state = AttemptState.EXITED;
+                        task.cause = refusalCause;
+                    } else if (gangs.getOrDefault(job, false)) {
                         task.state = AttemptState.WAITING_FOR_GANG;
                     }
                     tasks.put(key, task);
--- a/src/test/java/org/mountlug/node/SingleFaultsTest.java
+++ b/src/test/java/org/mountlug/node/SingleFaultsTest.java
@@ -208,7 +208,7 @@
         cluster.submitUntilAccepted(id(2), 12, false);
         assertAllDone(cluster, 2, 1, 90);
         assertEquals(startsBefore, unreachable.startCount);
-        cluster.heldCommands.forEach(Runnable::run);
+        cluster.commandNetwork.heldCalls.forEach(Runnable::run);
         cluster.runFor(5);
         assertEquals(List.of(), cluster.violations());
     }
@@ -230,7 +230,7 @@
         SimulatedCluster cluster = new SimulatedCluster(3);
         cluster.submitUntilAccepted(id(9), 1, false);
         cluster.runFor(12);
-        cluster.commandDelayS = delayS;
+        cluster.commandNetwork.delayS = delayS;
         cluster.taskDurationS = 15;
         cluster.submitUntilAccepted(id(1), 6, true);
         cluster.submitUntilAccepted(id(2), 4, true);
@@ -242,7 +242,7 @@
             cluster.leader().restartAfter(1);
         }
         cluster.runFor(40);
-        cluster.commandDelayS = 0;
+        cluster.commandNetwork.delayS = 0;
         if (cancelled) {
             assertEquals("withdrawn", cluster.pollStatus(id(1), ANSWER_TIMEOUT_S));
         } else {
