A worker forgets an attempt only under a higher token than that of its direct start

Other faces of it: a cancelled task runs again after cancel_s, a replica runs twice, a done or refused attempt starts again.

Cause: a direct call stays valid for as long as its session lasts and its token is the highest that the worker has seen, which is the whole term. The worker ignores a copy only while it knows the attempt, and the leader told it to forget the attempt once the outcome was durable and the call answered. An answer was taken for the end of the call's effect. The class: a right that is still valid, where only the memory that made its use harmless was removed; checked on one path (unanswered starts) and not on the other (answered ones).

Change: the clear of an attempt that was started directly goes out only under a higher token than the start (CommandTokens). The higher token is a revision at which a transaction guarded by the leader key succeeded: any later leader's token is above it, so no write is needed, and it exists whenever the outcome is durable. Only messages to that machine carry it, and it is raised only in the response that needs it, never while direct commands to the machine are in flight. It replaces the special case of unconfirmed starts, whose attempts were never forgotten in their session. A token from the term token to the proven revision counts as the term's own wherever tokens were compared for equality.

Only the 200 to our own guarded transaction proves a revision. The watch does not: a user's cancellation rewrites the record at a later revision, keeps our write identity and is not guarded by the leader key.

ReportHandler.reconcileAttempts is split by what it decides.

Ruled out: a request of the guard alone to prove a revision where none is known (written, and no test needed it: a placement's own write proves one).

--- a/src/main/java/org/mountlug/core/cluster/Cluster.java
+++ b/src/main/java/org/mountlug/core/cluster/Cluster.java
@@ -28,7 +28,7 @@
  * and times, its outputs are commands.
  */
 public final class Cluster {
-    private final long token;
+    private final CommandTokens tokens;
     private final double leaseS;
     private final Map<String, Team> teams = new LinkedHashMap<>();
     /** Live jobs by id. */
@@ -92,15 +92,16 @@
     }
 
     /**
-     * Creates an empty view for the term with this fencing token.
+     * Creates an empty view of a term.
      *
+     * @param termToken revision of the leader key
      * @param leaseS length of the worker lease in seconds
      */
-    public Cluster(long token, double leaseS, Collection<Team> teams) {
-        this.token = token;
+    public Cluster(long termToken, double leaseS, Collection<Team> teams) {
+        this.tokens = new CommandTokens(termToken);
         this.leaseS = leaseS;
-        this.reportHandler = new ReportHandler(this, leaseS);
-        this.commandHandler = new CommandHandler(this, reportHandler);
+        this.reportHandler = new ReportHandler(this, tokens, leaseS);
+        this.commandHandler = new CommandHandler(this, tokens, reportHandler);
         for (Team team : teams) {
             this.teams.put(team.name(), team);
         }
@@ -169,9 +170,36 @@
         return recordCapacity.remainingTasks(job);
     }
 
-    /** Returns the fencing token of this term. */
-    public long token() {
-        return token;
+    /** Returns the fencing token with which this term began: the revision of the leader key. */
+    public long termToken() {
+        return tokens.termToken();
+    }
+
+    /** Returns the fencing token that messages to the machine carry now; the term token for an unknown machine. */
+    public long commandToken(String machineName) {
+        Machine machine = machines.get(machineName);
+        return machine == null ? tokens.termToken() : tokens.currentToken(machine);
+    }
+
+    /** Whether a leader after this term has sent the token. */
+    public boolean isOfLaterTerm(long token) {
+        return tokens.isOfLaterTerm(token);
+    }
+
+    /** Records the revision of a successful transaction that was guarded by the leader key of this term. */
+    public void recordProvenRevision(long revision) {
+        tokens.recordProvenRevision(revision);
+    }
+
+    /** Returns the state of the fencing tokens. */
+    public CommandStatus commandStatus() {
+        int raisedMachines = 0;
+        int withheldForgets = 0;
+        for (Machine machine : machines.values()) {
+            raisedMachines += tokens.currentToken(machine) > tokens.termToken() ? 1 : 0;
+            withheldForgets += machine.withheldForgets;
+        }
+        return new CommandStatus(tokens.termToken(), tokens.provenRevision(), raisedMachines, withheldForgets);
     }
 
     /** Returns the teams that the settings name. */
@@ -455,6 +483,16 @@
         return commandHandler.takeDirectCommands(machine, mayStart, nonUrgentStartsAllowed, nowS);
     }
 
+    /** Records that the last direct commands to the machine were answered or timed out, whatever comes of them. */
+    public void endDirectCommands(Machine machine) {
+        commandHandler.endDirectCommands(machine);
+    }
+
+    /** Whether direct commands to the machine were sent and neither a response nor a timeout has followed. */
+    public boolean hasDirectCommandsInFlight(Machine machine) {
+        return machine.directCommandsInFlight;
+    }
+
     /** Records that the worker did not execute these commands and never will. */
     public void recordRefusedCommands(Machine machine, long session, List<Command> commands) {
         commandHandler.recordRefusedCommands(machine, session, commands);
--- a/src/main/java/org/mountlug/core/cluster/CommandHandler.java
+++ b/src/main/java/org/mountlug/core/cluster/CommandHandler.java
@@ -14,10 +14,12 @@
  */
 final class CommandHandler {
     private final Cluster cluster;
+    private final CommandTokens tokens;
     private final ReportHandler reportHandler;
 
-    CommandHandler(Cluster cluster, ReportHandler reportHandler) {
+    CommandHandler(Cluster cluster, CommandTokens tokens, ReportHandler reportHandler) {
         this.cluster = cluster;
+        this.tokens = tokens;
         this.reportHandler = reportHandler;
     }
 
@@ -54,14 +56,20 @@
                             || placement.job.spec.request().gpus() > 0)) {
                 placement.startUnconfirmed = true;
                 placement.directStartSentS = nowS;
-                machine.unconfirmedStarts.add(
+                machine.directStartsUnderToken.add(
                         Machine.attemptKey(placement.job.spec.id(), placement.task, placement.attempt));
                 commands.add(new Command(Command.Verb.START, placement.taskName(), placement.attempt, 0));
             }
         }
+        machine.directCommandsInFlight = !commands.isEmpty();
         return commands;
     }
 
+    /** Records that the last direct commands to the machine were answered or timed out, whatever comes of them. */
+    void endDirectCommands(Machine machine) {
+        machine.directCommandsInFlight = false;
+    }
+
     private boolean canSendStart(Machine machine, Placement placement) {
         return placement.startReportSequence < 0
                 && !placement.startUnconfirmed
@@ -87,8 +95,6 @@
                 continue;
             }
             placement.startUnconfirmed = false;
-            machine.unconfirmedStarts.remove(
-                    Machine.attemptKey(placement.job.spec.id(), placement.task, placement.attempt));
         }
     }
 
@@ -97,7 +103,7 @@
      * which attempts exist: the start of an attempt that it lacks may still arrive with a response in transit.
      */
     void recordCommandResponse(Machine machine, Report report, List<Command> commands, double nowS) {
-        if (report.token() > cluster.token()
+        if (tokens.isOfLaterTerm(report.token())
                 || cluster.machines.get(machine.name) != machine
                 || report.session() != machine.session) {
             return;
@@ -112,10 +118,8 @@
             }
             placement.startUnconfirmed = false;
             placement.reported = true;
-            machine.unconfirmedStarts.remove(
-                    Machine.attemptKey(placement.job.spec.id(), placement.task, placement.attempt));
         }
-        if (!report.isNewerThan(machine.session, machine.sequence) || report.token() != cluster.token()) {
+        if (!report.isNewerThan(machine.session, machine.sequence) || !tokens.isOfThisTerm(report.token())) {
             return;
         }
         machine.sequence = report.sequence();
@@ -141,7 +145,7 @@
      */
     boolean mustWithholdResponse(String machineName, double nowS) {
         Machine machine = cluster.machines.get(machineName);
-        if (machine == null || machine.unconfirmedStarts.isEmpty()) {
+        if (machine == null) {
             return false;
         }
         for (Placement placement : machine.placements.values()) {
--- a/src/main/java/org/mountlug/core/cluster/Machine.java
+++ b/src/main/java/org/mountlug/core/cluster/Machine.java
@@ -42,7 +42,7 @@
     public long sequence = -1;
     /** Sequence number of the newest report that was not the response to a direct command, -1 before the first. */
     long reportSequence = -1;
-    /** Whether the newest report carried this leader's fencing token, so that no older leader's command can take effect. */
+    /** Whether the newest report carried a token of this term, so that no older leader's command can take effect. */
     public boolean tokenConfirmed;
     /**
      * Monotonic time in seconds of this leader's last response that may have renewed the worker lease, {@code NaN} if there
@@ -104,8 +104,14 @@
 
     /** By attempt key: attempts that have exited in this session and that the worker has not been commanded to forget. */
     public final Map<String, ExitedAttempt> exitedAttempts = new HashMap<>();
-    /** Keys of attempts with an unconfirmed start; the worker must not forget them in this session. */
-    public final Set<String> unconfirmedStarts = new HashSet<>();
+    /** Token that messages to the worker carry, if it is higher than the term token. */
+    long commandToken;
+    /** Keys of attempts that were started directly in this session and under the current token of messages. */
+    final Set<String> directStartsUnderToken = new HashSet<>();
+    /** Whether direct commands were sent to the worker and neither a response nor a timeout has followed. */
+    boolean directCommandsInFlight;
+    /** Number of exited attempts in the newest report that the worker was not told to forget because of their token. */
+    int withheldForgets;
 
     /** Images in the machine's cache, the most recently used last. */
     public final Set<String> cachedImages = new LinkedHashSet<>();
--- a/src/main/java/org/mountlug/core/cluster/ReportHandler.java
+++ b/src/main/java/org/mountlug/core/cluster/ReportHandler.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.mountlug.Constants;
 import org.mountlug.core.model.AttemptState;
 import org.mountlug.core.model.Command;
@@ -14,15 +15,17 @@
 
 /**
  * Handles workers' reports: what each proves about the attempts placed on its machine, and the commands for the response.
- * A report proves something only if it carries this leader's fencing token and is newer than all earlier reports by
+ * A report proves something only if it carries a fencing token of this term and is newer than all earlier reports by
  * (session, sequence).
  */
 final class ReportHandler {
     private final Cluster cluster;
+    private final CommandTokens tokens;
     private final double leaseS;
 
-    ReportHandler(Cluster cluster, double leaseS) {
+    ReportHandler(Cluster cluster, CommandTokens tokens, double leaseS) {
         this.cluster = cluster;
+        this.tokens = tokens;
         this.leaseS = leaseS;
     }
 
@@ -33,7 +36,7 @@
      * @param mayStart whether the response may contain start commands
      */
     List<Command> handleReport(Report report, boolean mayStart, double nowS) {
-        if (report.token() > cluster.token()) {
+        if (tokens.isOfLaterTerm(report.token())) {
             return null;
         }
         if (cluster.isMachineGone(report.machine())) {
@@ -64,7 +67,7 @@
         boolean wasInContact = machine.tokenConfirmed && !machine.unreachable;
         if (report.session() > machine.session && machine.sequence >= 0) {
             machine.unreachable = true;
-        } else if (report.token() == cluster.token()
+        } else if (tokens.isOfThisTerm(report.token())
                 && report.sequence() == machine.sequence + 1
                 && nowS - machine.lastReportS < Constants.MAX_CONSECUTIVE_REPORT_GAP_S) {
             machine.unreachable = false;
@@ -79,7 +82,7 @@
         machine.lastReportS = nowS;
         if (report.session() != machine.session) {
             machine.exitedAttempts.clear();
-            machine.unconfirmedStarts.clear(); // commands of an earlier session have no effect
+            machine.directStartsUnderToken.clear(); // commands of an earlier session have no effect
         }
         machine.session = report.session();
         machine.sequence = report.sequence();
@@ -91,7 +94,8 @@
             machine.reclaimAtS = nowS + report.reclaimInS();
         }
         // After a report with an older token, an older leader's command may still take effect, so it proves nothing.
-        machine.tokenConfirmed = report.token() == cluster.token();
+        machine.tokenConfirmed = tokens.isOfThisTerm(report.token());
+        tokens.recordWorkerToken(machine, report.token());
         // No work could be placed on the machine until now, so it does not count as idle; otherwise machines that are
         // reachable again after a network partition would be returned.
         if (!wasInContact && machine.tokenConfirmed && !machine.unreachable) {
@@ -150,11 +154,26 @@
 
     private List<Command> reconcileAttempts(Machine machine, Report report, boolean mayStart, double nowS) {
         List<Command> commands = new ArrayList<>();
+        Set<String> unplacedAttempts = reconcilePlacements(machine, report, commands, nowS);
+        addForgetsAndOrphanStops(machine, report, unplacedAttempts, commands);
+        if (mayStart) {
+            addStarts(machine, report, commands);
+        }
+        if (!machine.isEmpty()) {
+            machine.idleSinceS = nowS;
+        }
+        return commands;
+    }
+
+    /**
+     * Applies what the report shows of the placements, and adds the stops of those that must stop. Returns the keys of the
+     * reported attempts that no record places on the machine.
+     */
+    private Set<String> reconcilePlacements(Machine machine, Report report, List<Command> commands, double nowS) {
         Map<String, Report.AttemptStatus> reportedAttempts = new HashMap<>();
         for (Report.AttemptStatus status : report.attempts()) {
             reportedAttempts.put(Machine.attemptKey(status.jobId(), status.task(), status.attempt()), status);
         }
-        machine.orphans.clear();
         for (Placement placement : new ArrayList<>(machine.placements.values())) {
             if (placement.session < machine.session) {
                 cluster.recordLostAttempt(placement, nowS, 0, "new worker session");
@@ -172,50 +191,66 @@
                         Command.Verb.STOP, placement.taskName(), placement.attempt, placement.gracePeriodS));
             }
         }
+        return reportedAttempts.keySet();
+    }
+
+    /** Adds commands to forget exited attempts, and stops of running attempts that no record places on the machine. */
+    private void addForgetsAndOrphanStops(
+            Machine machine, Report report, Set<String> unplacedAttempts, List<Command> commands) {
+        machine.orphans.clear();
+        machine.withheldForgets = 0;
         for (Report.AttemptStatus status : report.attempts()) {
             String attemptKey = Machine.attemptKey(status.jobId(), status.task(), status.attempt());
             String taskName = status.jobId() + "/" + status.task();
             if (status.state() == AttemptState.EXITED) {
-                Machine.ExitedAttempt exited = machine.exitedAttempts.get(attemptKey);
-                // If the worker forgot the attempt too early, a repeated start could run it again, or its result could
-                // be lost. An unconfirmed start would run it again, too.
-                if (machine.unconfirmedStarts.contains(attemptKey)) {
-                    continue;
-                }
-                if (exited == null || exited.isDurable() || cluster.jobs.get(status.jobId()) != exited.job()) {
+                if (mayForget(machine, status, attemptKey)) {
                     machine.exitedAttempts.remove(attemptKey);
                     commands.add(new Command(Command.Verb.FORGET, taskName, status.attempt(), 0));
                 }
-            } else if (reportedAttempts.containsKey(attemptKey)) {
+            } else if (unplacedAttempts.contains(attemptKey)) {
                 machine.orphans.put(attemptKey, status);
                 commands.add(new Command(Command.Verb.STOP, taskName, status.attempt(), 0));
             }
         }
-        if (mayStart) {
-            for (Placement placement : machine.placements.values()) {
-                if (placement.startReportSequence >= 0
-                        || placement.reported
-                        || placement.stopping
-                        || placement.job.cancelled
-                        || placement.session != machine.session) {
-                    continue;
-                }
-                if (!placement.job.isDurable(placement.task, placement.version)
-                        || cluster.jobs.get(placement.job.spec.id()) != placement.job) {
-                    continue;
-                }
-                if (placement.standby && !canStartStandby(machine, placement)) {
-                    continue;
-                }
-                placement.standby = false;
-                placement.startReportSequence = report.sequence();
-                commands.add(new Command(Command.Verb.START, placement.taskName(), placement.attempt, 0));
-            }
+    }
+
+    /**
+     * Whether the worker may forget an exited attempt. If it forgot the attempt too early, its result could be lost, or a
+     * repeated start could run it again.
+     */
+    private boolean mayForget(Machine machine, Report.AttemptStatus status, String attemptKey) {
+        Machine.ExitedAttempt exited = machine.exitedAttempts.get(attemptKey);
+        if (exited != null && !exited.isDurable() && cluster.jobs.get(status.jobId()) == exited.job()) {
+            return false;
         }
-        if (!machine.isEmpty()) {
-            machine.idleSinceS = nowS;
+        if (!tokens.allowForget(machine, attemptKey)) {
+            machine.withheldForgets++;
+            return false;
+        }
+        return true;
+    }
+
+    /** Adds the starts of placements that are durable and whose start was not sent since the last report. */
+    private void addStarts(Machine machine, Report report, List<Command> commands) {
+        for (Placement placement : machine.placements.values()) {
+            if (placement.startReportSequence >= 0
+                    || placement.reported
+                    || placement.stopping
+                    || placement.job.cancelled
+                    || placement.session != machine.session) {
+                continue;
+            }
+            if (!placement.job.isDurable(placement.task, placement.version)
+                    || cluster.jobs.get(placement.job.spec.id()) != placement.job) {
+                continue;
+            }
+            if (placement.standby && !canStartStandby(machine, placement)) {
+                continue;
+            }
+            placement.standby = false;
+            placement.startReportSequence = report.sequence();
+            commands.add(new Command(Command.Verb.START, placement.taskName(), placement.attempt, 0));
         }
-        return commands;
     }
 
     /** Whether the capacity that a standby placement waits for is free. */
--- a/src/main/java/org/mountlug/core/model/Command.java
+++ b/src/main/java/org/mountlug/core/model/Command.java
@@ -1,5 +1,8 @@
 package org.mountlug.core.model;
 
+import java.util.List;
+import java.util.stream.Collectors;
+
 /**
  * A command from the leader to a worker about one attempt.
  *
@@ -12,4 +15,11 @@
         STOP,
         FORGET
     }
+
+    /** Returns the commands in the form of the log, such as {@code START wk-000001/0 attempt 2}. */
+    public static String describe(List<Command> commands) {
+        return commands.stream()
+                .map(command -> command.verb + " " + command.taskName + " attempt " + command.attempt)
+                .collect(Collectors.joining(", "));
+    }
 }
--- a/src/main/java/org/mountlug/core/scale/RentalPlanner.java
+++ b/src/main/java/org/mountlug/core/scale/RentalPlanner.java
@@ -281,7 +281,7 @@
                         entry.getValue() - requestIndex * Constants.MAX_MACHINES_PER_RENTAL);
                 if (count > 0) {
                     CapacityPool pool = entry.getKey();
-                    String name = "h-" + cluster.token() + "-" + ++requestCounter;
+                    String name = "h-" + cluster.termToken() + "-" + ++requestCounter;
                     requests.add(new RentalRequest(name, pool.type(), pool.zone(), pool.spot(), count));
                 }
             }
--- a/src/main/java/org/mountlug/node/AdmissionPublisher.java
+++ b/src/main/java/org/mountlug/node/AdmissionPublisher.java
@@ -75,7 +75,7 @@
         }
         nextPlanS = nowS + Constants.Admission.PLAN_INTERVAL_MS / 1000.0;
         String label = term.environment.settings().label();
-        planner.observeDemand(label, term.cluster.token(), localAdmission.demand(), nowS);
+        planner.observeDemand(label, term.cluster.termToken(), localAdmission.demand(), nowS);
         capacity.observeLeaderWrites(writeRateLimit.totalAcquired(), queuesLimited, nowS);
         AdmissionTable table = planner.plan(capacity, hasRecoveredFromOutage(nowS), nowEpochMs(), nowS);
         planner.drainTransitions().forEach(AdmissionPublisher::logTransition);
--- a/src/main/java/org/mountlug/node/Controller.java
+++ b/src/main/java/org/mountlug/node/Controller.java
@@ -355,7 +355,7 @@
                 });
             case NONE -> {}
         }
-        if (leader != null && (!election.isLeading() || leader.cluster().token() != election.token())) {
+        if (leader != null && (!election.isLeading() || leader.cluster().termToken() != election.token())) {
             leader.end();
             leader = null;
             metrics.setLeading(false);
@@ -588,7 +588,7 @@
             election.depose();
             return new ReportResponse.NotLeader(null);
         }
-        return new ReportResponse.Commands(leader.cluster().token(), commands);
+        return new ReportResponse.Commands(leader.cluster().commandToken(report.machine()), commands);
     }
 
     /** Whether the load balancer should send users to this controller. */
--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -115,7 +115,7 @@
                     finalStates.put(job.spec.id(), done, job.spec.tasks());
                     metrics.countFinishedJob(done);
                 });
-        commandSender = new DirectCommandSender(term);
+        commandSender = new DirectCommandSender(term, metrics);
         machineProvisioner = new MachineProvisioner(term, scaler, writeRateLimit, metrics);
         this.admissionPublisher = new AdmissionPublisher(term, writeRateLimit, admissionControl);
         recordWatch.start();
@@ -235,7 +235,7 @@
             loaded = true;
             LOG.info(
                     "leading with token {}: {} live jobs, {} machines with tasks",
-                    cluster.token(),
+                    cluster.termToken(),
                     cluster.jobs.size(),
                     cluster.machines.size());
         }
@@ -274,7 +274,17 @@
     /** Applies a worker's report and returns the commands for it, or null if the worker knows a newer leader. */
     List<Command> handleReport(Report report) {
         double nowS = term.nowS();
-        return cluster.handleReport(report, term.isLeaseHeld(nowS), nowS);
+        List<Command> commands = cluster.handleReport(report, term.isLeaseHeld(nowS), nowS);
+        if (LOG.isDebugEnabled() && commands != null && !commands.isEmpty()) {
+            LOG.debug(
+                    "to {} in the response to report {} of session {}, token {}: {}",
+                    report.machine(),
+                    report.sequence(),
+                    report.session(),
+                    cluster.commandToken(report.machine()),
+                    Command.describe(commands));
+        }
+        return commands;
     }
 
     // ---- periodic work ----------------------------------------------------------------------------------------
@@ -344,6 +354,7 @@
         metrics.setZoneStatuses(zoneMonitor.status());
         metrics.setReservationCount(cluster.reservations.size());
         metrics.setFleetStatus(cluster.status(nowS));
+        metrics.setCommandStatus(cluster.commandStatus());
     }
 
     /** Returns the jobs with pending tasks, in displacement order if there is one, otherwise by priority and due time. */
--- a/src/main/java/org/mountlug/node/LeaderTerm.java
+++ b/src/main/java/org/mountlug/node/LeaderTerm.java
@@ -64,7 +64,7 @@
 
     /** Returns a transaction that succeeds only while the leader key of this term exists. */
     Transaction newFencedTransaction() {
-        return new Transaction().requireRevision(StateKeys.LEADER, cluster.token());
+        return new Transaction().requireRevision(StateKeys.LEADER, cluster.termToken());
     }
 
     /** Returns the maximum number of characters of a value, under the lower of the current and the announced limit. */
--- a/src/main/java/org/mountlug/node/Metrics.java
+++ b/src/main/java/org/mountlug/node/Metrics.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.ToDoubleFunction;
+import org.mountlug.core.cluster.CommandStatus;
 import org.mountlug.core.cluster.FleetStatus;
 import org.mountlug.core.zone.ZoneStatus;
 
@@ -32,6 +33,10 @@
     private final AtomicLong processPauses = new AtomicLong();
     private final AtomicLong refusedRentals = new AtomicLong();
     private volatile FleetStatus fleetStatus = new FleetStatus(0, 0, 0, 0, 0, 0, 0, 0);
+    private final AtomicLong directStarts = new AtomicLong();
+    private final AtomicLong refusedDirectStarts = new AtomicLong();
+    private final AtomicLong unansweredDirectStarts = new AtomicLong();
+    private volatile CommandStatus commandStatus = new CommandStatus(0, 0, 0, 0);
     private final AtomicInteger reservations = new AtomicInteger();
     private final AtomicInteger leading = new AtomicInteger();
     private volatile List<ZoneStatus> zoneStatuses = List.of();
@@ -106,6 +111,26 @@
         fleetStatus = status;
     }
 
+    /** Counts starts that were sent directly to a worker. */
+    public void countDirectStarts(int count) {
+        directStarts.addAndGet(count);
+    }
+
+    /** Counts direct starts that the worker refused or did not get, so that they never take effect. */
+    public void countRefusedDirectStarts(int count) {
+        refusedDirectStarts.addAndGet(count);
+    }
+
+    /** Counts direct starts without a usable response, which may still take effect. */
+    public void countUnansweredDirectStarts(int count) {
+        unansweredDirectStarts.addAndGet(count);
+    }
+
+    /** Sets the state of the fencing tokens, as the leader knows it. */
+    public void setCommandStatus(CommandStatus status) {
+        commandStatus = status;
+    }
+
     /** Sets the status of the zones, as the leader tracks them. */
     public void setZoneStatuses(List<ZoneStatus> status) {
         zoneStatuses = status;
@@ -135,6 +160,13 @@
             registerCounter("mountlug.reports.unanswered", unansweredReports);
             registerCounter("mountlug.standstills", processPauses);
             registerCounter("mountlug.rentals.refused", refusedRentals);
+            registerCounter("mountlug.starts.direct", directStarts);
+            registerCounter("mountlug.starts.direct.refused", refusedDirectStarts);
+            registerCounter("mountlug.starts.direct.unanswered", unansweredDirectStarts);
+            registerCommandGauge("mountlug.term.token", CommandStatus::termToken);
+            registerCommandGauge("mountlug.term.proven.revision", CommandStatus::provenRevision);
+            registerCommandGauge("mountlug.machines.token.raised", CommandStatus::raisedMachines);
+            registerCommandGauge("mountlug.attempts.forget.withheld", CommandStatus::withheldForgets);
             registerGauge("mountlug.jobs.live", FleetStatus::liveJobs);
             registerGauge("mountlug.jobs.suspected", FleetStatus::suspectedJobs);
             registerGauge("mountlug.machines", FleetStatus::machines);
@@ -174,6 +206,11 @@
                 .register(registry);
     }
 
+    private void registerCommandGauge(String name, ToDoubleFunction<CommandStatus> value) {
+        Gauge.builder(name, this, metrics -> value.applyAsDouble(metrics.commandStatus))
+                .register(registry);
+    }
+
     private void registerCounter(String name, AtomicLong count) {
         io.micrometer.core.instrument.FunctionCounter.builder(name, count, AtomicLong::get)
                 .register(registry);
--- a/src/main/java/org/mountlug/node/RecordWriter.java
+++ b/src/main/java/org/mountlug/node/RecordWriter.java
@@ -246,7 +246,7 @@
 
     private void addJob(TransactionDraft draft, Job job, double nowS) {
         String id = job.spec.id();
-        String writeId = term.cluster.token() + "." + ++writeCounter;
+        String writeId = term.cluster.termToken() + "." + ++writeCounter;
         draft.transaction.requireRevision(StateKeys.LIVE_JOBS + id, job.revision);
         if (job.isFinished()) {
             draft.transaction.delete(StateKeys.LIVE_JOBS + id);
@@ -339,6 +339,7 @@
     }
 
     private void handleCommit(long revision) {
+        term.cluster.recordProvenRevision(revision);
         for (JobWrite jobWrite : jobWritesInFlight) {
             // The watch may have shown this write already and the finished job may have been removed.
             if (term.cluster.jobs.get(jobWrite.job.spec.id()) == jobWrite.job) {
--- a/src/test/java/org/mountlug/node/InjectedFault.java
+++ b/src/test/java/org/mountlug/node/InjectedFault.java
@@ -242,6 +242,16 @@
         SimulatedCluster cluster = context.cluster();
         boolean all = context.random().nextInt(4) == 0;
         List.copyOf(all ? cluster.workers.values() : context.someMachines()).forEach(cluster.cloud::take);
+    }),
+    /** Direct commands that are executed meanwhile arrive again, once or several times, 0.2 s to 60 s later. */
+    COMMANDS_REPEATED(context -> {
+        DirectCommandNetwork network = context.cluster().commandNetwork;
+        SplittableRandom random = context.random();
+        network.repeatDelaysS = () -> random.doubles(random.nextInt(4), 0, 1)
+                .map(share -> 0.2 + 59.8 * share * share)
+                .boxed()
+                .toList();
+        context.atEnd(() -> network.repeatDelaysS = List::of);
     });
 
     private final Consumer<FaultContext> injection;
@@ -262,6 +272,9 @@
     /** Number of original and newer faults; seeds of the tests without {@link #MACHINES_TAKEN} draw only these. */
     static final int NEWER_COUNT = BEST_EFFORT_TEAM.ordinal() + 1;
 
+    /** Number of faults up to {@link #MACHINES_TAKEN}; seeds of the test that begins with it draw only these. */
+    static final int MACHINES_TAKEN_COUNT = MACHINES_TAKEN.ordinal() + 1;
+
     /**
      * What a fault affects.
      *
--- a/src/test/java/org/mountlug/node/RepeatedCommandsCheck.java
+++ b/src/test/java/org/mountlug/node/RepeatedCommandsTest.java
@@ -8,17 +8,19 @@
 import static org.mountlug.node.FaultTestSteps.submit;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mountlug.core.model.AttemptState;
 import org.mountlug.core.model.ExitCause;
 
 /** Direct commands that were executed and answered, and of which copies reach the worker again later. */
-class RepeatedCommandsCheck {
+class RepeatedCommandsTest {
     /** Most seconds after which an attempt that has exited must have left the reports, in a quiet system. */
     private static final double MAX_FORGET_DELAY_S = 10;
     /** The job whose start commands arrive again. */
@@ -167,9 +169,9 @@
         }
         cluster.cloud.down = meanwhile == Meanwhile.MACHINE_IS_RETURNED;
         endAttempts(ending, machines);
-        assertTrue(cluster.runUntil(90, () -> calls.stream().allMatch(RepeatedCommandsCheck::hasEnded)));
+        assertTrue(cluster.runUntil(90, () -> calls.stream().allMatch(RepeatedCommandsTest::hasEnded)));
         assertTrue(
-                cluster.runUntil(MAX_FORGET_DELAY_S, () -> calls.stream().allMatch(RepeatedCommandsCheck::isForgotten)),
+                cluster.runUntil(MAX_FORGET_DELAY_S, () -> calls.stream().allMatch(RepeatedCommandsTest::isForgotten)),
                 "attempts that have exited leave the reports");
         letPass(meanwhile, machines);
         cluster.runFor(delayS);
@@ -205,6 +207,89 @@
         assertEquals(List.of(), cluster.violations());
     }
 
+    /** Each worker must accept every response, so that its lease goes on, and no controller may take a raised token for a new leader's. */
+    @ParameterizedTest(name = "reports {0} s on their way")
+    @ValueSource(doubles = {0, 0.3, 1})
+    void raisedTokensEndNoWorkerLeaseAndNoTerm(double reportDelayS) {
+        cluster.taskDurationS = 2;
+        submit(cluster, 90, "service", 2);
+        for (int i = 1; i <= 20; i++) {
+            submit(cluster, i, i % 3 == 0 ? "gang" : "array", TASKS);
+            cluster.workers.values().forEach(worker -> worker.reportDelayS = reportDelayS);
+            cluster.runFor(4);
+        }
+        cluster.runFor(20);
+        long token = cluster.leader().token();
+        assertEquals(token, readMetric("mountlug_term_token"));
+        assertTrue(readMetric("mountlug_machines_token_raised") > 0);
+        assertEquals(0, readMetric("mountlug_starts_direct_refused_total"));
+        Map<String, Long> tokens = new HashMap<>();
+        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+            assertEquals(1, worker.session, worker.name);
+            assertTrue(worker.token >= token);
+            tokens.put(worker.name, worker.token);
+        }
+        cluster.runFor(60);
+        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+            assertEquals(tokens.get(worker.name), worker.token, "tokens do not rise in a quiet system");
+        }
+        assertEquals(token, cluster.leader().token());
+        assertEquals(List.of(), cluster.violations());
+    }
+
+    /** During an outage no outcome is durable, so that no attempt is forgotten, but none is started either. */
+    @Test
+    void exitedAttemptsPileUpNoFurtherDuringAnOutage() {
+        cluster.cloud.capacity = 3;
+        cluster.taskDurationS = 3;
+        submit(cluster, 1, "array", 200);
+        cluster.runFor(20);
+        cluster.stateService.outage = true;
+        cluster.runFor(5);
+        int attempts = reportedAttempts();
+        cluster.runFor(40);
+        assertTrue(reportedAttempts() <= attempts, reportedAttempts() + " attempts, " + attempts + " before");
+        cluster.stateService.recover();
+        cluster.runFor(1);
+        cluster.controllers.get(0).cancel(JOB);
+        cluster.runFor(MAX_FORGET_DELAY_S + 10);
+        assertEquals(0, reportedAttempts());
+        assertEquals(List.of(), cluster.violations());
+    }
+
+    @Test
+    void attemptsAreForgottenThoughTheResponseToTheLastWriteIsLost() {
+        cluster.taskDurationS = 8;
+        submit(cluster, 1, "array", TASKS);
+        assertTrue(cluster.runUntil(60, () -> activeTaskCount(cluster, JOB) == TASKS));
+        cluster.runFor(6);
+        SimulatedCluster.ControllerProcess leader = cluster.leader();
+        leader.stateLink = FakeStateService.Link.RESPONSES_LOST;
+        assertTrue(cluster.runUntil(30, () -> cluster.stateService.value("f/" + JOB) != null));
+        leader.stateLink = FakeStateService.Link.HEALTHY;
+        assertTrue(cluster.runUntil(MAX_FORGET_DELAY_S, () -> reportedAttempts() == 0), "attempts are forgotten");
+        assertEquals(leader, cluster.leader());
+        assertEquals(List.of(), cluster.violations());
+    }
+
+    private int reportedAttempts() {
+        return cluster.workers.values().stream()
+                .mapToInt(worker -> worker.tasks.size())
+                .sum();
+    }
+
+    private double readMetric(String metric) {
+        return cluster.leader()
+                .controller
+                .metrics()
+                .scrape()
+                .lines()
+                .filter(line -> line.startsWith(metric + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(metric.length() + 1)))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private static boolean hasEnded(DirectCommandNetwork.ExecutedCall call) {
         return call.worker().terminated
                 || call.worker().tasks.values().stream()
--- a/src/test/java/org/mountlug/node/SeededFaultsTest.java
+++ b/src/test/java/org/mountlug/node/SeededFaultsTest.java
@@ -47,23 +47,35 @@
         runSeed(seed, FirstFault.MACHINES_TAKEN);
     }
 
+    /** Direct commands arrive again after they were executed, and any other fault may follow. */
+    @ParameterizedTest(name = "seed {0}")
+    @MethodSource("seeds")
+    void overlappingFaultsWithRepeatedCommandsCauseNoViolation(long seed) {
+        runSeed(seed, FirstFault.COMMANDS_REPEATED);
+    }
+
     /** The kind of the first fault; only original faults follow an original one, and others follow the rest. */
     private enum FirstFault {
         ORIGINAL,
         NEWER,
-        MACHINES_TAKEN
+        MACHINES_TAKEN,
+        COMMANDS_REPEATED
     }
 
     private static InjectedFault drawFault(SplittableRandom random, FirstFault firstFault, boolean first) {
         if (first && firstFault == FirstFault.MACHINES_TAKEN) {
             return InjectedFault.MACHINES_TAKEN;
         }
+        if (first && firstFault == FirstFault.COMMANDS_REPEATED) {
+            return InjectedFault.COMMANDS_REPEATED;
+        }
         int from = first && firstFault == FirstFault.NEWER ? InjectedFault.ORIGINAL_COUNT : 0;
         int to =
                 switch (firstFault) {
                     case ORIGINAL -> InjectedFault.ORIGINAL_COUNT;
                     case NEWER -> InjectedFault.NEWER_COUNT;
-                    case MACHINES_TAKEN -> InjectedFault.values().length;
+                    case MACHINES_TAKEN -> InjectedFault.MACHINES_TAKEN_COUNT;
+                    case COMMANDS_REPEATED -> InjectedFault.values().length;
                 };
         return InjectedFault.values()[from + random.nextInt(to - from)];
     }
