--- a/src/main/java/org/mountlug/node/Leader.java
+++ b/src/main/java/org/mountlug/node/Leader.java
@@ -274,14 +274,16 @@
     /** Applies a worker's report and returns the commands for it, or null if the worker knows a newer leader. */
     List<Command> handleReport(Report report) {
         double nowS = term.nowS();
+        long tokenBefore = cluster.commandToken(report.machine());
         List<Command> commands = cluster.handleReport(report, term.isLeaseHeld(nowS), nowS);
         if (LOG.isDebugEnabled() && commands != null && !commands.isEmpty()) {
             LOG.debug(
-                    "to {} in the response to report {} of session {}, token {}: {}",
+                    "to {} in the response to report {} of session {}, token {}, before {}: {}",
                     report.machine(),
                     report.sequence(),
                     report.session(),
                     cluster.commandToken(report.machine()),
+                    tokenBefore,
                     Command.describe(commands));
         }
         return commands;
--- a/src/test/java/org/mountlug/node/ObservabilityTest.java
+++ b/src/test/java/org/mountlug/node/ObservabilityTest.java
@@ -59,6 +59,7 @@
         "no capacity, mountlug_rentals_refused_total",
         "process pause, mountlug_standstills_total",
         "outage beside a silent peer, mountlug_reports_unanswered_total",
+        "short tasks, mountlug_machines_token_raised",
     })
     void eachFaultShowsInItsMetric(String fault, String metric) {
         SimulatedCluster cluster = new SimulatedCluster(3);
@@ -83,6 +84,7 @@
             }
             case "no capacity" -> cluster.submitUntilAccepted(jobId(2), 400, false);
             case "process pause" -> leader.pause(3);
+            case "short tasks" -> cluster.taskDurationS = 1;
             default -> {
                 cluster.stateService.outage = true;
                 leader.cutFromPeers = true;
@@ -93,6 +95,31 @@
                 "the metric did not rise above " + valueBefore);
     }
 
+    /** What becomes of a direct start tells apart one that never takes effect and one that may take effect late. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "worker in a new session, mountlug_starts_direct_refused_total",
+        "slow command, mountlug_starts_direct_unanswered_total",
+        "nothing, mountlug_starts_direct_total"
+    })
+    void directStartShowsInTheMetricOfItsOutcome(String fault, String metric) {
+        SimulatedCluster cluster = new SimulatedCluster(3);
+        cluster.taskDurationS = 60;
+        cluster.submitUntilAccepted(jobId(1), 2, false);
+        assertTrue(FaultTestSteps.runUntilStarted(cluster, 2));
+        cluster.runFor(5);
+        double valueBefore = readMetric(cluster.leader(), metric);
+        cluster.commandNetwork.delayS = fault.equals("slow command") ? 5 : 0;
+        cluster.stateService.onTransaction = (from, body) -> {
+            if (from == cluster.leader() && fault.equals("worker in a new session")) {
+                cluster.workers.values().forEach(worker -> worker.session++);
+                cluster.stateService.onTransaction = null;
+            }
+        };
+        cluster.submitUntilAccepted(jobId(2), 2, false);
+        assertTrue(cluster.runUntil(10, () -> readMetric(cluster.leader(), metric) > valueBefore));
+    }
+
     /** Machines that a new leader knows from the job records alone count as silent, or nothing would show that they are. */
     @Test
     void machinesThatNeverReportedToANewLeaderCountAsSilent() {
--- a/src/test/java/org/mountlug/node/SimulatedCluster.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -128,6 +128,9 @@
     /** Called when a controller begins a term, before any later event reaches it. */
     final List<Consumer<ControllerProcess>> onTermStart = new ArrayList<>();
 
+    /** Runs each tick of a controller; a measurement may replace it. */
+    Consumer<Runnable> tickRunner = Runnable::run;
+
     private long highestToken;
     /** Highest share of its CPU limit that any team has used; shows whether a test brought a team to its limit. */
     double peakTeamLimitShare;
@@ -557,7 +560,7 @@
                     runAfterPause(tick[0]);
                     return;
                 }
-                controller.tick();
+                tickRunner.accept(controller::tick);
                 detectTermStart();
                 schedule(Constants.TICK_MS / 1000.0, tick[0]);
             };
@@ -937,6 +940,8 @@
         final List<Report> sentReports = new ArrayList<>();
 
         int startCount;
+        /** Whether {@link ChangeDrivenReports} sends the reports of this worker. */
+        boolean reportLoopStarted;
         /** The cause with which starts are refused; null if they are accepted. */
         ExitCause refusalCause;
 
--- a/src/test/java/org/mountlug/node/ZoneScenario.java
+++ b/src/test/java/org/mountlug/node/ZoneScenario.java
@@ -27,14 +27,12 @@
     }
 
     ZoneScenario(int controllers, int machinesPerZone, ZoneSettings settings, boolean runsProductionVersion) {
+        this(controllers, machinesPerZone, OperatorSettings.defaults().withZones(settings), runsProductionVersion);
+    }
+
+    ZoneScenario(int controllers, int machinesPerZone, OperatorSettings operators, boolean runsProductionVersion) {
         cluster = new SimulatedCluster(
-                controllers,
-                List.of(new Team("t", 0, 0, 0, 0, 1)),
-                10,
-                runsProductionVersion,
-                8,
-                8,
-                OperatorSettings.defaults().withZones(settings));
+                controllers, List.of(new Team("t", 0, 0, 0, 0, 1)), 10, runsProductionVersion, 8, 8, operators);
         cluster.cloud.zones = new ArrayList<>(ZONES);
         cluster.cloud.capacity = 3 * machinesPerZone;
         for (String zone : ZONES) {
