--- a/src/test/java/org/mountlug/node/CancellationFaultsTest.java
+++ b/src/test/java/org/mountlug/node/CancellationFaultsTest.java
@@ -245,7 +245,7 @@
         assertEquals(
                 "withdrawn", otherController(cluster, leader).cancel(jobId(1)).get("status"));
         cluster.stateService.outage = true;
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.reportsBlocked = true;
         }
         cluster.runFor(3); // by now the leader lease is not known to be held
@@ -256,7 +256,7 @@
                 0,
                 activeTaskCount(cluster, jobId(1)),
                 "stopped by direct commands, well before the worker leases expire");
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.reportsBlocked = false;
         }
         cluster.stateService.recover();
@@ -463,13 +463,13 @@
             cluster.submitUntilAccepted(jobId(i), 4, false, Map.of("crew", "u"));
         }
         cluster.runFor(3);
-        List<SimulatedCluster.Worker> affectedWorkers =
+        List<SimulatedWorker> affectedWorkers =
                 new ArrayList<>(cluster.workers.values()).subList(0, cluster.workers.size() / 2 + 1);
         SimulatedCluster.ControllerProcess oldLeader = cluster.leader();
         if (leaderRestartS < 0) {
             oldLeader.restartAfter(1);
         }
-        for (SimulatedCluster.Worker worker : affectedWorkers) {
+        for (SimulatedWorker worker : affectedWorkers) {
             worker.disconnected = fault.equals("disconnected");
             worker.reportsBlocked = fault.equals("reports blocked");
             worker.inboundBlocked = fault.equals("inbound blocked");
@@ -760,7 +760,7 @@
         submit(cluster, 2, jobType, 4);
         assertTrue(runUntilStarted(cluster, 12));
         cluster.runFor(3);
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.hungUntilS = cluster.nowS + hangS;
         }
         cluster.runFor(cancelAfterS);
@@ -771,7 +771,7 @@
         cluster.runFor(hangS - cancelAfterS + 0.1);
         // The machines hang once more as soon as they continue, each time for less than their lease.
         cluster.runFor(0.4);
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.hungUntilS = cluster.nowS + hangS;
         }
         if (leaderRestarts && cluster.leader() != null) {
--- a/src/test/java/org/mountlug/node/ChangeDrivenReports.java
+++ b/src/test/java/org/mountlug/node/ChangeDrivenReports.java
@@ -48,16 +48,16 @@
 
     /** The reports of one worker. */
     private final class Loop {
-        private final SimulatedCluster.Worker worker;
+        private final SimulatedWorker worker;
         private boolean inFlight;
         private double sentAtS = Double.NEGATIVE_INFINITY;
         private double nextRegularS;
         private int reportedState;
         private long reportedToken;
         private double tokenReportedAtS = Double.NEGATIVE_INFINITY;
-        private final Map<SimulatedCluster.Task, Double> exitedAtS = new HashMap<>();
+        private final Map<SimulatedTask, Double> exitedAtS = new HashMap<>();
 
-        Loop(SimulatedCluster.Worker worker) {
+        Loop(SimulatedWorker worker) {
             this.worker = worker;
         }
 
@@ -82,7 +82,7 @@
         }
 
         private void recordForgotten() {
-            for (SimulatedCluster.Task task : worker.tasks.values()) {
+            for (SimulatedTask task : worker.tasks.values()) {
                 if (task.state == AttemptState.EXITED) {
                     exitedAtS.putIfAbsent(task, cluster.nowS);
                 }
@@ -103,7 +103,7 @@
 
         private int taskState() {
             int state = 0;
-            for (SimulatedCluster.Task task : worker.tasks.values()) {
+            for (SimulatedTask task : worker.tasks.values()) {
                 state += 31 * System.identityHashCode(task) + task.state.hashCode();
             }
             return state;
--- a/src/test/java/org/mountlug/node/ClusterInvariants.java
+++ b/src/test/java/org/mountlug/node/ClusterInvariants.java
@@ -17,7 +17,7 @@
 
     /** Records a violation for each breach; to be called about ten times a second. */
     void check() {
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             checkCancelledTasks(worker);
         }
         for (SimulatedCluster.ControllerProcess process : cluster.controllers) {
@@ -32,8 +32,8 @@
         }
     }
 
-    private void checkCancelledTasks(SimulatedCluster.Worker worker) {
-        for (SimulatedCluster.Task task : worker.activeTasks()) {
+    private void checkCancelledTasks(SimulatedWorker worker) {
+        for (SimulatedTask task : worker.activeTasks()) {
             Double cancelledAtS = cluster.cancelAcknowledgedAtS.get(task.jobId);
             if (cancelledAtS != null && cluster.nowS > cancelledAtS + SimulatedCluster.CANCEL_DEADLINE_S) {
                 cluster.recordViolation("ran after its cancellation: " + task.jobId + "/" + task.index + " on "
@@ -46,7 +46,7 @@
     /** Checks that no living machine counts as gone, also while it is cut off, hangs, boots or is not listed yet. */
     private void checkMachinesGoneByList(SimulatedCluster.ControllerProcess process) {
         for (String name : process.controller.machinesGoneByList()) {
-            SimulatedCluster.Worker worker = cluster.workers.get(name);
+            SimulatedWorker worker = cluster.workers.get(name);
             if (worker != null && !worker.terminated) {
                 cluster.recordViolation("a living machine counts as gone: " + name);
             }
--- a/src/test/java/org/mountlug/node/DepartedMachinesTest.java
+++ b/src/test/java/org/mountlug/node/DepartedMachinesTest.java
@@ -105,7 +105,7 @@
         FaultTestSteps.submit(cluster, 1, jobType, 32);
         assertTrue(runUntilStarted(cluster, 32));
         cluster.runFor(30);
-        List<SimulatedCluster.Worker> workers = new ArrayList<>(cluster.workers.values());
+        List<SimulatedWorker> workers = new ArrayList<>(cluster.workers.values());
         workers.subList(0, taken).forEach(cluster.cloud::take);
         cluster.runFor(5);
         cluster.controllers.forEach(SimulatedCluster.ControllerProcess::kill);
@@ -159,7 +159,7 @@
         assertTrue(runUntilStarted(cluster, 24));
         cluster.runFor(20);
         cluster.cloud.listsWithoutBody = true;
-        List<SimulatedCluster.Worker> cutOff = List.copyOf(cluster.workers.values());
+        List<SimulatedWorker> cutOff = List.copyOf(cluster.workers.values());
         cutOff.forEach(worker -> worker.disconnected = true);
         cluster.runFor(30);
         assertTrue(cluster.workers.values().containsAll(cutOff), "no living machine is returned");
@@ -201,7 +201,7 @@
         cluster.cloud.responseDelayS = responseDelayS;
         cluster.runFor(cutAfterS);
         List<String> machinesBefore = List.copyOf(cluster.workers.keySet());
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.disconnected = true;
             cluster.schedule(CUT_OFF_S, () -> worker.disconnected = false);
         }
--- a/src/test/java/org/mountlug/node/DirectCommandNetwork.java
+++ b/src/test/java/org/mountlug/node/DirectCommandNetwork.java
@@ -14,7 +14,7 @@
     private static final double LATENCY_S = 0.001;
 
     /** A call that a worker has executed and answered with status 200. */
-    record ExecutedCall(SimulatedCluster.Worker worker, Map<String, Object> body) {
+    record ExecutedCall(SimulatedWorker worker, Map<String, Object> body) {
         /** Whether the call has a start of a task of the job. */
         boolean startsTaskOf(String jobId) {
             return startedAttempts().stream().anyMatch(key -> key.startsWith(jobId + "/"));
@@ -71,7 +71,7 @@
     /** Returns the transport from a controller to the worker at the address. */
     HttpTransport transport(String address, SimulatedCluster.ControllerProcess from) {
         return (method, path, body, timeoutMs, then) -> {
-            SimulatedCluster.Worker worker = cluster.workers.get(address);
+            SimulatedWorker worker = cluster.workers.get(address);
             if (worker == null || !worker.reaches(from)) {
                 cluster.schedule(
                         timeoutMs / 1000.0, () -> then.accept(new PooledHttpClient.Response(0, Map.of(), false)));
--- a/src/test/java/org/mountlug/node/FailingJobsTest.java
+++ b/src/test/java/org/mountlug/node/FailingJobsTest.java
@@ -35,8 +35,7 @@
         cluster.submitUntilAccepted(id(1), 1200, false);
         assertTrue(cluster.runUntil(60, () -> cluster.workers.size() == 8));
         cluster.runFor(8);
-        SimulatedCluster.Worker faultyWorker =
-                cluster.workers.values().iterator().next();
+        SimulatedWorker faultyWorker = cluster.workers.values().iterator().next();
         List<String> healthyMachines = cluster.workers.keySet().stream()
                 .filter(name -> !name.equals(faultyWorker.name))
                 .toList();
@@ -95,7 +94,7 @@
         cluster.taskDurationS = 5;
         cluster.submitUntilAccepted(id(1), 120, false, Map.of("dueS", 20.0));
         assertTrue(cluster.runUntil(60, () -> cluster.pollStatus(id(1), 5).equals("done")));
-        List<SimulatedCluster.Worker> machines = List.copyOf(cluster.workers.values());
+        List<SimulatedWorker> machines = List.copyOf(cluster.workers.values());
         machines.subList(0, Math.min(faultyCount, machines.size())).forEach(machine -> machine.failsAllTasks = true);
         cluster.submitUntilAccepted(id(2), gang ? 4 : 60, gang);
         cluster.submitUntilAccepted(id(3), gang ? 4 : 60, gang);
--- a/src/test/java/org/mountlug/node/FakeCloud.java
+++ b/src/test/java/org/mountlug/node/FakeCloud.java
@@ -61,7 +61,7 @@
 
     private record Reply(int status, Map<String, Object> body) {}
 
-    private record DepartedMachine(SimulatedCluster.Worker worker, double atS) {}
+    private record DepartedMachine(SimulatedWorker worker, double atS) {}
 
     void call(
             HttpString method,
@@ -105,7 +105,7 @@
 
     private void returnMachines(Map<String, Object> body) {
         for (Object name : Fields.getList(body, "rigs")) {
-            SimulatedCluster.Worker worker = cluster.workers.get((String) name);
+            SimulatedWorker worker = cluster.workers.get((String) name);
             if (worker != null) {
                 take(worker);
             }
@@ -113,7 +113,7 @@
     }
 
     /** Takes a machine back without a notice, with all its tasks. */
-    void take(SimulatedCluster.Worker worker) {
+    void take(SimulatedWorker worker) {
         cluster.workers.remove(worker.name);
         worker.terminate();
         departedMachines.put(worker.name, new DepartedMachine(worker, cluster.nowS));
@@ -141,7 +141,7 @@
         lagSpreadShare = (lagSpreadShare + LAG_SPREAD_STEP) % 1;
         double listedAtS = cluster.nowS - listLagS - listLagSpreadS * lagSpreadShare;
         List<Object> machines = new ArrayList<>();
-        for (SimulatedCluster.Worker worker :
+        for (SimulatedWorker worker :
                 machinesAt(listedAtS).tailMap(after, false).values()) {
             if (machines.size() == PAGE_SIZE) {
                 return Map.of("rigs", machines, "hasNext", true);
@@ -152,8 +152,8 @@
     }
 
     /** Returns the machines that there were at this time, by name. */
-    private TreeMap<String, SimulatedCluster.Worker> machinesAt(double timeS) {
-        TreeMap<String, SimulatedCluster.Worker> machines = new TreeMap<>(cluster.workers);
+    private TreeMap<String, SimulatedWorker> machinesAt(double timeS) {
+        TreeMap<String, SimulatedWorker> machines = new TreeMap<>(cluster.workers);
         departedMachines.forEach((name, departed) -> {
             if (departed.atS > timeS) {
                 machines.put(name, departed.worker);
@@ -163,7 +163,7 @@
         return machines;
     }
 
-    private Map<String, Object> machineEntry(SimulatedCluster.Worker worker, double listedAtS) {
+    private Map<String, Object> machineEntry(SimulatedWorker worker, double listedAtS) {
         double ageS = listedAtS - worker.rentedAtS;
         boolean up = worker.willBoot && ageS >= worker.bootDurationS;
         String status = up ? "running" : "booting";
--- a/src/test/java/org/mountlug/node/InjectedFault.java
+++ b/src/test/java/org/mountlug/node/InjectedFault.java
@@ -59,9 +59,8 @@
         context.atEnd(() -> runHeld(context.cluster().commandNetwork.heldCalls));
     }),
     /** A third of the machines that were drawn for the fault crash and do not return. */
-    MACHINES_CRASH(context -> context.someMachines()
-            .subList(0, context.someMachines().size() / 3)
-            .forEach(SimulatedCluster.Worker::crash)),
+    MACHINES_CRASH(context ->
+            context.someMachines().subList(0, context.someMachines().size() / 3).forEach(SimulatedWorker::crash)),
     /** Direct commands are delayed. */
     COMMANDS_DELAYED(context -> {
         context.cluster().commandNetwork.delayS = 0.5 + context.random().nextDouble() * 8;
@@ -82,7 +81,7 @@
     ZONE_ISOLATED(context -> {
         SimulatedCluster cluster = context.cluster();
         context.anyController().inIsolatedZone = true;
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             boolean affected = cluster.cloud.zones.size() > 1 || worker.name.hashCode() % 2 == 0;
             worker.inIsolatedZone = worker.zone.equals("a") && affected;
         }
@@ -107,7 +106,7 @@
                 scheduleCancellation(cluster, id, random.nextDouble() * 0.2, random.nextInt(5));
             }
         }
-        List<SimulatedCluster.Worker> hung = new ArrayList<>(context.someMachines());
+        List<SimulatedWorker> hung = new ArrayList<>(context.someMachines());
         hung.removeIf(worker -> !random.nextBoolean());
         hang(hung, cluster.nowS + Math.min(context.durationS(), cluster.workerLeaseS - 0.5));
     }),
@@ -288,7 +287,7 @@
             SimulatedCluster cluster,
             SimulatedCluster.ControllerProcess leader,
             SimulatedCluster.ControllerProcess anyController,
-            List<SimulatedCluster.Worker> someMachines,
+            List<SimulatedWorker> someMachines,
             double durationS,
             double restartDelayS,
             SplittableRandom random) {
@@ -296,7 +295,7 @@
             SimulatedCluster.ControllerProcess anyController =
                     cluster.controllers.get(random.nextInt(cluster.controllers.size()));
             SimulatedCluster.ControllerProcess leader = cluster.leader() == null ? anyController : cluster.leader();
-            List<SimulatedCluster.Worker> someMachines = new ArrayList<>(cluster.workers.values());
+            List<SimulatedWorker> someMachines = new ArrayList<>(cluster.workers.values());
             someMachines.removeIf(worker -> random.nextInt(3) == 0);
             double restartDelayS = random.nextBoolean() ? 0.1 + random.nextDouble() * 0.4 : 1 + random.nextDouble() * 8;
             return new FaultContext(cluster, leader, anyController, someMachines, durationS, restartDelayS, random);
@@ -308,8 +307,8 @@
         }
 
         /** Applies {@code begin} to some machines now and {@code end} at the end of the fault. */
-        void affectSomeMachines(Consumer<SimulatedCluster.Worker> begin, Consumer<SimulatedCluster.Worker> end) {
-            for (SimulatedCluster.Worker worker : someMachines) {
+        void affectSomeMachines(Consumer<SimulatedWorker> begin, Consumer<SimulatedWorker> end) {
+            for (SimulatedWorker worker : someMachines) {
                 begin.accept(worker);
                 atEnd(() -> end.accept(worker));
             }
@@ -330,7 +329,7 @@
         return 60 + nominalS;
     }
 
-    private static void hang(List<SimulatedCluster.Worker> workers, double untilS) {
+    private static void hang(List<SimulatedWorker> workers, double untilS) {
         workers.forEach(worker -> worker.hungUntilS = untilS);
     }
 
@@ -401,7 +400,7 @@
         SimulatedCluster cluster = context.cluster();
         SplittableRandom random = context.random();
         List<Report> oldReports = new ArrayList<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             for (Report report : worker.sentReports.subList(
                     Math.max(0, worker.sentReports.size() - 12), worker.sentReports.size())) {
                 if (random.nextInt(3) > 0) {
--- a/src/test/java/org/mountlug/node/LargeFleetTest.java
+++ b/src/test/java/org/mountlug/node/LargeFleetTest.java
@@ -36,7 +36,7 @@
     /** Returns the names of the machines with active tasks. */
     private Set<String> busyMachines() {
         Set<String> busy = new HashSet<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             if (!worker.activeTasks().isEmpty()) {
                 busy.add(worker.name);
             }
--- a/src/test/java/org/mountlug/node/LateMessageFaultsTest.java
+++ b/src/test/java/org/mountlug/node/LateMessageFaultsTest.java
@@ -51,7 +51,7 @@
         cluster.runFor(1.5);
         // Machines of different speeds, so that the tasks of a job end seconds apart.
         double[] slowdown = {1};
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.slowdownFactor = slowdown[0] += 0.6;
         }
         for (SimulatedCluster.ControllerProcess controller : cluster.controllers) {
@@ -109,7 +109,7 @@
                 "the old leader placed the job");
         cluster.stateService.onTransaction = null;
         oldLeader.cutFromPeers = true;
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.disconnected = true; // so that the next leader has not written the job record yet
         }
         assertTrue(cluster.runUntil(12, () -> cluster.leader() != oldLeader && cluster.leader() != null));
@@ -122,7 +122,7 @@
         assertEquals(recordBefore, cluster.stateService.value("j/" + jobId(2)));
         cluster.runFor(2);
         assertEquals(token, cluster.leader().token(), "the leader does not take the write for one of a newer leader");
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.disconnected = false;
         }
         oldLeader.stateLink = FakeStateService.Link.HEALTHY;
@@ -147,7 +147,7 @@
         };
         cluster.submitUntilAccepted(jobId(2), 12, true);
         // The cancelled tasks take a while to stop, and their capacity is reserved meanwhile.
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.hungUntilS = cluster.nowS + 6;
         }
         cluster.controllers.get(0).cancel(jobId(1));
@@ -232,7 +232,7 @@
         cluster.runFor(6);
         int[] deliveredReports = new int[1];
         List<Report> oldReports = new ArrayList<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             oldReports.addAll(worker.sentReports.subList(
                     Math.max(0, worker.sentReports.size() - reportsPerWorker), worker.sentReports.size()));
         }
@@ -248,7 +248,7 @@
             }
         }));
         if (sessionEnded) {
-            for (SimulatedCluster.Worker worker : new ArrayList<>(cluster.workers.values())) {
+            for (SimulatedWorker worker : new ArrayList<>(cluster.workers.values())) {
                 worker.disconnected = true;
                 cluster.schedule(11, () -> worker.disconnected = false);
             }
@@ -272,7 +272,7 @@
         cluster.cloud.capacity = 1;
         cluster.submitUntilAccepted(jobId(9), 1, false);
         assertTrue(runUntilStarted(cluster, 1));
-        SimulatedCluster.Worker worker = cluster.workers.values().iterator().next();
+        SimulatedWorker worker = cluster.workers.values().iterator().next();
         cluster.runFor(4.1);
         // From here on the reports of the worker are delayed, but direct commands to it are not.
         worker.reportDelayS = reportDelayS;
@@ -330,7 +330,7 @@
         submit(cluster, 1, jobType, 6);
         submit(cluster, 2, jobType, 4);
         cluster.runFor(1.2);
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.hungUntilS = cluster.nowS + hangS;
         }
         cluster.runFor(cancelAfterS);
--- a/src/test/java/org/mountlug/node/LoadGenerator.java
+++ b/src/test/java/org/mountlug/node/LoadGenerator.java
@@ -273,8 +273,8 @@
     }
 
     private void measureCompletionLag() {
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
-            for (SimulatedCluster.Task task : worker.tasks.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
+            for (SimulatedTask task : worker.tasks.values()) {
                 if (task.state == AttemptState.EXITED && task.cause == ExitCause.DONE) {
                     taskEndedAtS.putIfAbsent(task.jobId, cluster.nowS);
                 }
--- a/src/test/java/org/mountlug/node/LoopbackCluster.java
+++ b/src/test/java/org/mountlug/node/LoopbackCluster.java
@@ -277,7 +277,7 @@
     // ---- workers ------------------------------------------------------------------------------------------------
 
     /** Opens an address at which the worker accepts direct commands; a worker in an isolated zone never responds. */
-    void openCommandEndpoint(SimulatedCluster.Worker worker) throws IOException {
+    void openCommandEndpoint(SimulatedWorker worker) throws IOException {
         worker.address = startHttpServer(request -> {
             if (!worker.inIsolatedZone) {
                 worker.handleCommands(request.body, request.responseHandler);
@@ -286,7 +286,7 @@
     }
 
     /** Sends a worker's report to the controller that the worker has chosen. */
-    private void sendReport(SimulatedCluster.Worker worker) {
+    private void sendReport(SimulatedWorker worker) {
         if (worker.inIsolatedZone) {
             reportToNextController(worker, 2);
             return;
@@ -305,7 +305,7 @@
     }
 
     private void handleReportResponse(
-            SimulatedCluster.Worker worker, Report report, double sentAtS, HttpResponse<byte[]> response) {
+            SimulatedWorker worker, Report report, double sentAtS, HttpResponse<byte[]> response) {
         if (worker.terminated || closed) {
             return;
         }
@@ -334,7 +334,7 @@
         }
     }
 
-    private void reportToNextController(SimulatedCluster.Worker worker, double delayS) {
+    private void reportToNextController(SimulatedWorker worker, double delayS) {
         worker.controllerIndex = (worker.controllerIndex + 1) % controllerAddresses.size();
         simulation.schedule(delayS, worker::sendReport);
     }
--- a/src/test/java/org/mountlug/node/MixedBuildsCheck.java
+++ b/src/test/java/org/mountlug/node/MixedBuildsCheck.java
@@ -335,7 +335,7 @@
         });
     }
 
-    private List<SimulatedCluster.Task> activeTasks(String jobId) {
+    private List<SimulatedTask> activeTasks(String jobId) {
         return simulation.workers.values().stream()
                 .flatMap(worker -> worker.activeTasks().stream())
                 .filter(task -> task.jobId.equals(jobId))
--- a/src/test/java/org/mountlug/node/ObservabilityTest.java
+++ b/src/test/java/org/mountlug/node/ObservabilityTest.java
@@ -127,7 +127,7 @@
         cluster.taskDurationS = 100;
         cluster.submitUntilAccepted(jobId(1), 24, false);
         assertTrue(FaultTestSteps.runUntilStarted(cluster, 24));
-        List<SimulatedCluster.Worker> taken = List.copyOf(cluster.workers.values());
+        List<SimulatedWorker> taken = List.copyOf(cluster.workers.values());
         taken.forEach(cluster.cloud::take);
         cluster.cloud.down = true;
         cluster.controllers.forEach(process -> process.restartAfter(2));
--- a/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
+++ b/src/test/java/org/mountlug/node/OverlappingFaultsTest.java
@@ -93,7 +93,7 @@
                 leaderInside ? cluster.leader() : otherController(cluster, cluster.leader());
         isolatedController.inIsolatedZone = true;
         assertTrue(cluster.workers.values().stream().anyMatch(worker -> worker.zone.equals("a")));
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.inIsolatedZone = worker.zone.equals("a");
         }
         SimulatedCluster.ControllerProcess outsideController = otherController(cluster, isolatedController);
@@ -108,7 +108,7 @@
         }
         cluster.runFor(isolatedAfterCancelS);
         isolatedController.inIsolatedZone = false;
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.inIsolatedZone = false;
         }
         cluster.runFor(SimulatedCluster.CANCEL_DEADLINE_S);
@@ -167,7 +167,7 @@
             }
         }
         int i = 0;
-        for (SimulatedCluster.Worker worker : new ArrayList<>(cluster.workers.values())) {
+        for (SimulatedWorker worker : new ArrayList<>(cluster.workers.values())) {
             if (i++ % 3 == 0) {
                 continue;
             }
@@ -223,12 +223,12 @@
         cluster.addMachine(otherZone);
         cluster.addMachine(otherZone);
         cluster.runFor(6);
-        List<SimulatedCluster.Worker> zoneWorkers = cluster.workers.values().stream()
+        List<SimulatedWorker> zoneWorkers = cluster.workers.values().stream()
                 .filter(worker -> worker.zone.equals(zone))
                 .sorted(java.util.Comparator.comparingInt(
                         worker -> worker.activeTasks().size()))
                 .toList();
-        for (SimulatedCluster.Worker worker : zoneWorkers.subList(0, zoneWorkers.size() - 1)) {
+        for (SimulatedWorker worker : zoneWorkers.subList(0, zoneWorkers.size() - 1)) {
             worker.crash();
         }
         if (leaderRestarts) {
@@ -264,8 +264,8 @@
         submit(cluster, 2, jobType, 4);
         assertTrue(runUntilStarted(cluster, 12));
         cluster.runFor(2);
-        List<SimulatedCluster.Worker> workers = new ArrayList<>(cluster.workers.values());
-        for (SimulatedCluster.Worker worker : workers) {
+        List<SimulatedWorker> workers = new ArrayList<>(cluster.workers.values());
+        for (SimulatedWorker worker : workers) {
             worker.reportsBlocked = true;
             cluster.schedule(blockedS, () -> worker.reportsBlocked = false);
         }
--- a/src/test/java/org/mountlug/node/RepeatedCommandsTest.java
+++ b/src/test/java/org/mountlug/node/RepeatedCommandsTest.java
@@ -53,7 +53,7 @@
         STATE_SERVICE_OUTAGE
     }
 
-    private void endAttempts(Ending ending, Set<SimulatedCluster.Worker> machines) {
+    private void endAttempts(Ending ending, Set<SimulatedWorker> machines) {
         switch (ending) {
             case FAILED -> {
                 cluster.failingJobs.add(JOB);
@@ -72,7 +72,7 @@
         }
     }
 
-    private void letPass(Meanwhile meanwhile, Set<SimulatedCluster.Worker> machines) {
+    private void letPass(Meanwhile meanwhile, Set<SimulatedWorker> machines) {
         switch (meanwhile) {
             case MACHINE_HANGS -> machines.forEach(machine -> machine.hungUntilS = cluster.nowS + 4);
             case MACHINE_HAS_OTHER_WORK -> {
@@ -162,7 +162,7 @@
         }
         assertTrue(cluster.runUntil(60, () -> !startCalls().isEmpty()), "the starts were sent directly");
         List<DirectCommandNetwork.ExecutedCall> calls = new ArrayList<>(startCalls());
-        Set<SimulatedCluster.Worker> machines = Set.of(calls.get(0).worker());
+        Set<SimulatedWorker> machines = Set.of(calls.get(0).worker());
         cluster.workers.values().forEach(worker -> worker.refusalCause = null);
         if (!jobType.equals("gang")) {
             calls.removeIf(call -> !machines.contains(call.worker()));
@@ -189,7 +189,7 @@
         submit(cluster, 1, "gang", 2 * TASKS);
         assertTrue(cluster.runUntil(60, () -> activeTaskCount(cluster, JOB) == 2 * TASKS));
         cluster.runFor(5);
-        SimulatedCluster.Worker faulty = startCalls().get(0).worker();
+        SimulatedWorker faulty = startCalls().get(0).worker();
         faulty.failsAllTasks = true;
         cluster.runFor(1);
         faulty.failsAllTasks = false;
@@ -224,13 +224,13 @@
         assertTrue(readMetric("mountlug_machines_token_raised") > 0);
         assertEquals(0, readMetric("mountlug_starts_direct_refused_total"));
         Map<String, Long> tokens = new HashMap<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             assertEquals(1, worker.session, worker.name);
             assertTrue(worker.token >= token);
             tokens.put(worker.name, worker.token);
         }
         cluster.runFor(60);
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             assertEquals(tokens.get(worker.name), worker.token, "tokens do not rise in a quiet system");
         }
         assertEquals(token, cluster.leader().token());
--- a/src/test/java/org/mountlug/node/ServicesTest.java
+++ b/src/test/java/org/mountlug/node/ServicesTest.java
@@ -21,11 +21,11 @@
 
     private static Set<String> runningReplicas(SimulatedCluster cluster) {
         Set<String> tasks = new HashSet<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             if (worker.terminated) {
                 continue;
             }
-            for (SimulatedCluster.Task task : worker.tasks.values()) {
+            for (SimulatedTask task : worker.tasks.values()) {
                 if (task.jobId.equals(SERVICE_ID) && task.state == org.mountlug.core.model.AttemptState.RUNNING) {
                     tasks.add(task.jobId + "/" + task.index);
                 }
@@ -41,7 +41,7 @@
         return cluster;
     }
 
-    private static SimulatedCluster.Worker workerWithReplica(SimulatedCluster cluster) {
+    private static SimulatedWorker workerWithReplica(SimulatedCluster cluster) {
         return cluster.workers.values().stream()
                 .filter(worker -> worker.tasks.values().stream().anyMatch(task -> task.jobId.equals(SERVICE_ID)))
                 .findFirst()
@@ -64,7 +64,7 @@
     })
     void replicasAreRestarted(String fault, double timeoutS) {
         SimulatedCluster cluster = startService(6);
-        SimulatedCluster.Worker affectedWorker = workerWithReplica(cluster);
+        SimulatedWorker affectedWorker = workerWithReplica(cluster);
         switch (fault) {
             case "done", "stopped", "error" -> {
                 cluster.replicaExitCause = ExitCause.valueOf(fault.toUpperCase());
--- a/src/test/java/org/mountlug/node/SimulatedCluster.java
+++ b/src/test/java/org/mountlug/node/SimulatedCluster.java
@@ -12,10 +12,8 @@
 import org.mountlug.Constants;
 import org.mountlug.api.UserRequestHandler;
 import org.mountlug.api.UserResponseCodec;
-import org.mountlug.core.model.AttemptState;
 import org.mountlug.core.model.Command;
 import org.mountlug.core.model.ExitCause;
-import org.mountlug.core.model.Report;
 import org.mountlug.core.model.Team;
 import org.mountlug.peer.PeerConnections;
 import org.mountlug.settings.OperatorSettings;
@@ -78,7 +76,7 @@
     private final List<String> violations = new ArrayList<>();
     final FakeStateService stateService;
     final List<ControllerProcess> controllers = new ArrayList<>();
-    final Map<String, Worker> workers = new TreeMap<>();
+    final Map<String, SimulatedWorker> workers = new TreeMap<>();
     /** When each job's cancellation was acknowledged; positive infinity once a violation is recorded. */
     final Map<String, Double> cancelAcknowledgedAtS = new HashMap<>();
 
@@ -92,7 +90,7 @@
     /** Jobs whose tasks fail on every machine. */
     final java.util.Set<String> failingJobs = new java.util.HashSet<>();
     /** Sends workers' reports in place of the calls to this cluster's controllers; null for those calls. */
-    Consumer<Worker> reportSender;
+    Consumer<SimulatedWorker> reportSender;
 
     /** A task's start on a machine. */
     record TaskStart(double atS, String jobId, int taskIndex, String zone, String machine) {}
@@ -219,8 +217,8 @@
 
     double usedCpus(String team) {
         double cpus = 0;
-        for (Worker worker : workers.values()) {
-            for (Task task : worker.activeTasks()) {
+        for (SimulatedWorker worker : workers.values()) {
+            for (SimulatedTask task : worker.activeTasks()) {
                 SubmittedJob job = submittedJobs.get(task.jobId);
                 if (job != null && job.team.equals(team)) {
                     cpus += job.cpus;
@@ -362,8 +360,8 @@
     }
 
     boolean isRunning(String id) {
-        for (Worker worker : workers.values()) {
-            for (Task task : worker.activeTasks()) {
+        for (SimulatedWorker worker : workers.values()) {
+            for (SimulatedTask task : worker.activeTasks()) {
                 if (task.jobId.equals(id)) {
                     return true;
                 }
@@ -378,7 +376,7 @@
         if (team != null && team.maxCpus() > 0 && usedCpus(job.team) + job.cpus > team.maxCpus()) {
             return false;
         }
-        for (Worker worker : workers.values()) {
+        for (SimulatedWorker worker : workers.values()) {
             if (worker.terminated
                     || worker.disconnected
                     || worker.inboundBlocked
@@ -393,7 +391,7 @@
                 continue;
             }
             double usedCpus = 0;
-            for (Task task : worker.activeTasks()) {
+            for (SimulatedTask task : worker.activeTasks()) {
                 usedCpus += submittedJobs.get(task.jobId).cpus;
             }
             if (usedCpus + job.cpus <= MACHINE_CPUS) {
@@ -863,8 +861,8 @@
 
     // ---- machines ---------------------------------------------------------------------------------------------
 
-    Worker addMachine(String zone) {
-        Worker worker = new Worker(String.format("n-%06d", ++machinesRented), zone);
+    SimulatedWorker addMachine(String zone) {
+        SimulatedWorker worker = new SimulatedWorker(this, String.format("n-%06d", ++machinesRented), zone);
         workers.put(worker.name, worker);
         if (everyNthNeverBoots == 0 || machinesRented % everyNthNeverBoots > 0) {
             schedule(worker.bootDurationS, worker::sendReport);
@@ -874,383 +872,48 @@
         return worker;
     }
 
-    // ---- workers ----------------------------------------------------------------------------------------------
-
-    /** An attempt on a machine. */
-    final class Task {
-        final String jobId;
-        final int index;
-        final long attempt;
-        AttemptState state = AttemptState.RUNNING;
-        ExitCause cause = ExitCause.NONE;
-        /** Seconds of its run time that have passed. */
-        double elapsedRunS;
-
-        Task(String job, int index, long attempt) {
-            this.jobId = job;
-            this.index = index;
-            this.attempt = attempt;
+    /** Records a task's start on a machine, and a violation for each guarantee that it breaks. */
+    void checkStart(SimulatedWorker startedOn, String job, int index, Command command) {
+        String key = command.taskName() + "#" + command.attempt();
+        if (!startedAttempts.add(key)) {
+            recordViolation("attempt started again: " + key + " on " + startedOn.name);
         }
-    }
-
-    /** A machine and its worker. */
-    final class Worker {
-        final String name;
-        /** The address to which direct commands are sent. */
-        String address;
-
-        final Map<String, Task> tasks = new LinkedHashMap<>();
-        long session = 1;
-        long sequence;
-        long token;
-        double leaseStartS = nowS;
-        int controllerIndex;
-        boolean terminated;
-        final double rentedAtS = nowS;
-        final double bootDurationS = machineBootS * bootSlowdownFactor;
-        /** Whether the machine comes up at the end of its boot time; false if never. */
-        boolean willBoot;
-
-        double crashedAtS = Double.POSITIVE_INFINITY;
-        /** When the cloud reclaims the machine, which its reports announce; {@code NaN} if it is not to be reclaimed. */
-        double reclaimedAtS = Double.NaN;
-        /** Whether every task that runs here fails. */
-        boolean failsAllTasks;
-        /** Factor on the run time of tasks here. */
-        double slowdownFactor = 1;
-        /** Whether inbound traffic is lost: reports leave, but neither responses nor direct commands arrive. */
-        boolean inboundBlocked;
-        /** Whether the machine is cut off from all controllers. */
-        boolean disconnected;
-        /** Whether reports are lost while direct commands arrive. */
-        boolean reportsBlocked;
-        /** Whether the machine is in a zone that is cut off from all other zones. */
-        boolean inIsolatedZone;
-
-        final String zone;
-        /** End of a hang in simulated seconds. While the machine hangs, tasks, reports and incoming messages wait. */
-        double hungUntilS;
-        /** Seconds by which reports are delayed on their way; responses are not. */
-        double reportDelayS;
-        /** Whether a report reached the leader after this worker had responded to a later direct command. */
-        boolean reportOvertaken;
-
-        private long lastDirectSequence;
-        /** All reports sent, for tests that replay them. */
-        final List<Report> sentReports = new ArrayList<>();
-
-        int startCount;
-        /** Whether {@link ChangeDrivenReports} sends the reports of this worker. */
-        boolean reportLoopStarted;
-        /** The cause with which starts are refused; null if they are accepted. */
-        ExitCause refusalCause;
-
-        Worker(String name, String zone) {
-            this.name = name;
-            this.address = name;
-            this.zone = zone;
-            this.leaseStartS = nowS + bootDurationS;
-        }
-
-        boolean reaches(ControllerProcess process) {
-            return !disconnected && !process.cutFromWorkers && inIsolatedZone == process.inIsolatedZone;
-        }
-
-        /** Returns tasks that have not exited; none after the lease's end, as a hung worker kills them when it goes on. */
-        List<Task> activeTasks() {
-            if (terminated || tasks.isEmpty() || nowS - leaseStartS > workerLeaseS + 0.1) {
-                return List.of();
-            }
-            return tasks.values().stream()
-                    .filter(task -> task.state != AttemptState.EXITED)
-                    .toList();
-        }
-
-        /** Ends the machine with all its tasks; the cloud's machine list shows the failure later. */
-        void crash() {
-            terminate();
-            crashedAtS = nowS;
+        if (stateService.value("j/" + job) == null && stateService.value("f/" + job) == null) {
+            recordViolation("started without a job record: " + job);
         }
-
-        void terminate() {
-            terminated = true;
-            tasks.clear();
+        SubmittedJob submittedJob = submittedJobs.get(job);
+        if (submittedJob != null && submittedJob.zone != null && !submittedJob.zone.equals(startedOn.zone)) {
+            recordViolation("started in a wrong zone: " + key + " in " + startedOn.zone);
         }
-
-        /** Kills all tasks if the worker lease has ended, and advances running tasks; runs ten times a second. */
-        void advanceTasks() {
-            if (terminated) {
-                return;
-            }
-            if (hungUntilS > nowS) {
-                schedule(hungUntilS - nowS, this::advanceTasks);
-                return;
-            }
-            if (nowS - leaseStartS > workerLeaseS) {
-                tasks.clear();
-                session++;
-                leaseStartS = nowS;
-            }
-            boolean changed = false;
-            for (Task task : tasks.values()) {
-                if (task.state == AttemptState.WAITING_FOR_GANG && isGangComplete(task)) {
-                    task.state = AttemptState.RUNNING;
-                }
-                if (task.state != AttemptState.RUNNING) {
+        for (SimulatedWorker worker : workers.values()) {
+            for (SimulatedTask other : worker.activeTasks()) {
+                if (!other.jobId.equals(job)) {
                     continue;
                 }
-                task.elapsedRunS += 0.1 / slowdownFactor;
-                boolean fails = failsAllTasks || failingJobs.contains(task.jobId);
-                boolean isService = services.contains(task.jobId);
-                if (fails || task.elapsedRunS >= taskDurationS && (!isService || replicaExitCause != null)) {
-                    task.state = AttemptState.EXITED;
-                    task.cause = fails ? ExitCause.ERROR : isService ? replicaExitCause : ExitCause.DONE;
-                    if (task.cause == ExitCause.DONE && submittedJobs.containsKey(task.jobId)) {
-                        submittedJobs.get(task.jobId).completedTasks.add(task.index);
-                    }
-                    changed = true;
+                if (other.index == index) {
+                    recordViolation(
+                            "ran twice: " + command.taskName() + " on " + worker.name + " and " + startedOn.name);
                 }
-            }
-            schedule(0.1, this::advanceTasks);
-        }
-
-        /** Whether all tasks of the gang are on machines with the same attempt number. */
-        private boolean isGangComplete(Task task) {
-            int presentTasks = 0;
-            for (Worker worker : workers.values()) {
-                for (Task other : worker.tasks.values()) {
-                    if (other.jobId.equals(task.jobId)
-                            && other.attempt == task.attempt
-                            && other.state != AttemptState.EXITED) {
-                        presentTasks++;
-                    }
+                if (submittedJob != null && submittedJob.oneZone && !worker.zone.equals(startedOn.zone)) {
+                    recordViolation("started in two zones: " + key);
                 }
             }
-            return presentTasks >= taskCounts.get(task.jobId);
         }
-
-        Report createReport() {
-            List<Report.AttemptStatus> attempts = new ArrayList<>();
-            for (Task task : tasks.values()) {
-                attempts.add(
-                        new Report.AttemptStatus(task.jobId, task.index, task.attempt, task.state, task.cause, false));
-            }
-            double reclaimInS = reclaimedAtS - nowS;
-            return new Report(name, name, "small", zone, false, session, ++sequence, token, reclaimInS, attempts);
+        Double cancelledAtS = cancelAcknowledgedAtS.get(job);
+        if (cancelledAtS != null && nowS > cancelledAtS + CANCEL_DEADLINE_S) {
+            recordViolation("started after its cancellation: " + key);
         }
-
-        /** Sends a report to the current controller; moves on to the next controller if it cannot be reached. */
-        void sendReport() {
-            if (terminated) {
-                return;
-            }
-            if (hungUntilS > nowS) {
-                // After the hang, the lease is checked before a report is sent.
-                schedule(hungUntilS - nowS + 0.001, this::sendReport);
-                return;
-            }
-            if (reportSender != null) {
-                reportSender.accept(this);
-                return;
-            }
-            ControllerProcess process = controllers.get(controllerIndex);
-            if (reportsBlocked || !reaches(process) || !process.up) {
-                reportToNextController(reportsBlocked || !reaches(process) ? 5 : 1);
-                return;
-            }
-            Report report = createReport();
-            sentReports.add(report);
-            double sentAtS = nowS;
-            schedule(0.002 + reportDelayS, () -> {
-                reportOvertaken |=
-                        lastDirectSequence > report.sequence() && process.up && process.controller.isLeading();
-                if (process.pausedUntilS > nowS) {
-                    // The report waits in the socket; when it is read, the worker no longer waits for a response.
-                    schedule(process.pausedUntilS - nowS, () -> {
-                        if (process.up) {
-                            process.controller.handleReport(report);
-                        }
-                    });
-                    schedule(5, () -> reportToNextController(0));
-                    return;
-                }
-                Controller.ReportResponse response = process.up ? process.controller.handleReport(report) : null;
-                if (inboundBlocked) {
-                    schedule(5, () -> reportToNextController(0));
-                } else {
-                    schedule(0.002, () -> handleReportResponse(response, sentAtS, report.session()));
-                }
-            });
-        }
-
-        private void reportToNextController(double delayS) {
-            controllerIndex = (controllerIndex + 1) % controllers.size();
-            schedule(delayS, this::sendReport);
-        }
-
-        /** Handles the response to a report sent in {@code reportSession}; null if the request failed. */
-        void handleReportResponse(Controller.ReportResponse response, double sentAtS, long reportSession) {
-            if (terminated) {
-                return;
-            }
-            if (hungUntilS > nowS) {
-                schedule(
-                        hungUntilS - nowS + 0.001,
-                        () -> handleReportResponse(nowS - sentAtS > 4 ? null : response, sentAtS, reportSession));
-                return;
-            }
-            if (response instanceof Controller.ReportResponse.Commands commands) {
-                if (reportSession == session && commands.token() >= token) {
-                    token = commands.token();
-                    leaseStartS = Math.max(leaseStartS, sentAtS);
-                    for (Command command : commands.commands()) {
-                        executeCommand(command);
-                    }
-                }
-                schedule(commands.commands().isEmpty() ? 2 : 0.5, this::sendReport);
-            } else if (response instanceof Controller.ReportResponse.NotLeader notLeader
-                    && notLeader.leader() != null
-                    && !notLeader.leader().equals(controllers.get(controllerIndex).label)) {
-                for (int i = 0; i < controllers.size(); i++) {
-                    if (controllers.get(i).label.equals(notLeader.leader())) {
-                        controllerIndex = i;
-                    }
-                }
-                schedule(0.2, this::sendReport);
-            } else {
-                reportToNextController(1);
-            }
-        }
-
-        /** Handles direct commands; refuses those with a lower token than seen before or for another session. */
-        void handleCommands(Map<String, Object> body, Consumer<PooledHttpClient.Response> then) {
-            if (terminated) {
-                return;
-            }
-            if (hungUntilS > nowS) {
-                schedule(hungUntilS - nowS + 0.001, () -> handleCommands(body, then));
-                return;
-            }
-            boolean accepted = Fields.getLong(body, "baton", 0) >= token && Fields.getLong(body, "stint", 0) == session;
-            if (accepted) {
-                token = Fields.getLong(body, "baton", 0);
-                for (Object entry : Fields.getList(body, "orders")) {
-                    Map<String, Object> command = Fields.asMap(entry);
-                    Command.Verb verb =
-                            switch (Fields.getString(command, "verb", "")) {
-                                case "start" -> Command.Verb.START;
-                                case "kill" -> Command.Verb.STOP;
-                                default -> Command.Verb.FORGET;
-                            };
-                    executeCommand(new Command(
-                            verb,
-                            Fields.getString(command, "piece"),
-                            Fields.getLong(command, "try", 0),
-                            Fields.getDouble(command, "leewayS", 0)));
-                }
-            }
-            Report report = createReport();
-            lastDirectSequence = report.sequence();
-            then.accept(new PooledHttpClient.Response(accepted ? 200 : 409, reportMessage(report), true));
-        }
-
-        /** Returns the report in its form on the wire. */
-        Map<String, Object> reportMessage(Report report) {
-            List<Object> pieces = new ArrayList<>();
-            for (Report.AttemptStatus attempt : report.attempts()) {
-                boolean waitsForGang = attempt.state() == AttemptState.WAITING_FOR_GANG;
-                String cause = attempt.cause() == ExitCause.STOPPED
-                        ? "halted"
-                        : attempt.cause().name().toLowerCase(java.util.Locale.ROOT);
-                pieces.add(Fields.orderedMap(
-                        "piece",
-                        attempt.jobId() + "/" + attempt.task(),
-                        "try",
-                        attempt.attempt(),
-                        "status",
-                        attempt.state() == AttemptState.EXITED ? "exited" : waitsForGang ? "gathering" : "running",
-                        "cause",
-                        cause));
-            }
-            return Fields.orderedMap(
-                    "rig", name,
-                    "address", address,
-                    "build", "small",
-                    "site", zone,
-                    "loaners", false,
-                    "stint", report.session(),
-                    "tick", report.sequence(),
-                    "baton", token,
-                    "pieces", pieces);
+        if (cancelledAtS != null) {
+            latestStartAfterCancelS = Math.max(latestStartAfterCancelS, nowS - cancelledAtS);
         }
+        startsByJob.merge(job, 1, Integer::sum);
+        startLog.add(new TaskStart(nowS, job, index, startedOn.zone, startedOn.name));
+    }
 
-        /** Executes a command and checks that the start, if it is one, breaks no guarantee. */
-        void executeCommand(Command command) {
-            int slash = command.taskName().lastIndexOf('/');
-            String job = command.taskName().substring(0, slash);
-            int index = Integer.parseInt(command.taskName().substring(slash + 1));
-            String key = command.taskName() + "#" + command.attempt();
-            Task task = tasks.get(key);
-            switch (command.verb()) {
-                case START -> {
-                    if (task != null) {
-                        return;
-                    }
-                    if (!startedAttempts.add(key)) {
-                        recordViolation("attempt started again: " + key + " on " + name);
-                    }
-                    if (stateService.value("j/" + job) == null && stateService.value("f/" + job) == null) {
-                        recordViolation("started without a job record: " + job);
-                    }
-                    SubmittedJob submittedJob = submittedJobs.get(job);
-                    if (submittedJob != null && submittedJob.zone != null && !submittedJob.zone.equals(zone)) {
-                        recordViolation("started in a wrong zone: " + key + " in " + zone);
-                    }
-                    for (Worker worker : workers.values()) {
-                        for (Task other : worker.activeTasks()) {
-                            if (!other.jobId.equals(job)) {
-                                continue;
-                            }
-                            if (other.index == index) {
-                                recordViolation(
-                                        "ran twice: " + command.taskName() + " on " + worker.name + " and " + name);
-                            }
-                            if (submittedJob != null && submittedJob.oneZone && !worker.zone.equals(zone)) {
-                                recordViolation("started in two zones: " + key);
-                            }
-                        }
-                    }
-                    Double cancelledAtS = cancelAcknowledgedAtS.get(job);
-                    if (cancelledAtS != null && nowS > cancelledAtS + CANCEL_DEADLINE_S) {
-                        recordViolation("started after its cancellation: " + key);
-                    }
-                    if (cancelledAtS != null) {
-                        latestStartAfterCancelS = Math.max(latestStartAfterCancelS, nowS - cancelledAtS);
-                    }
-                    startCount++;
-                    startsByJob.merge(job, 1, Integer::sum);
-                    startLog.add(new TaskStart(nowS, job, index, zone, name));
-                    task = new Task(job, index, command.attempt());
-                    if (refusalCause != null) {
-                        task.state = AttemptState.EXITED;
-                        task.cause = refusalCause;
-                    } else if (gangs.getOrDefault(job, false)) {
-                        task.state = AttemptState.WAITING_FOR_GANG;
-                    }
-                    tasks.put(key, task);
-                }
-                case STOP -> {
-                    if (task != null && task.state != AttemptState.EXITED) {
-                        task.state = AttemptState.EXITED;
-                        task.cause = ExitCause.STOPPED;
-                    }
-                }
-                case FORGET -> {
-                    if (task != null && task.state == AttemptState.EXITED) {
-                        tasks.remove(key);
-                    }
-                }
-            }
+    /** Records that a task has completed on some machine. */
+    void recordCompletion(String job, int index) {
+        if (submittedJobs.containsKey(job)) {
+            submittedJobs.get(job).completedTasks.add(index);
         }
     }
 }
--- a/src/test/java/org/mountlug/node/SingleFaultsTest.java
+++ b/src/test/java/org/mountlug/node/SingleFaultsTest.java
@@ -192,8 +192,7 @@
         cluster.taskDurationS = 20;
         cluster.submitUntilAccepted(id(9), 1, false);
         assertTrue(cluster.runUntil(60, () -> !cluster.workers.isEmpty()));
-        SimulatedCluster.Worker unreachable =
-                cluster.workers.values().iterator().next();
+        SimulatedWorker unreachable = cluster.workers.values().iterator().next();
         cluster.runFor(4);
         unreachable.inboundBlocked = fromStart;
         cluster.submitUntilAccepted(id(1), gang ? 8 : 12, gang);
@@ -265,15 +264,14 @@
         submitJobs(cluster, 1, 8);
         cluster.runFor(10);
         List<Report> copies = new ArrayList<>();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             copies.addAll(worker.sentReports);
         }
         if (newLeader) {
             cluster.leader().restartAfter(6);
         }
         // One machine is cut off for longer than its lease, so that copies of its reports belong to an older session.
-        SimulatedCluster.Worker disconnectedWorker =
-                cluster.workers.values().iterator().next();
+        SimulatedWorker disconnectedWorker = cluster.workers.values().iterator().next();
         disconnectedWorker.disconnected = true;
         cluster.schedule(14, () -> disconnectedWorker.disconnected = false);
         for (Report report : copies) {
@@ -334,7 +332,7 @@
                 || "withdrawn".equals(oldLeaderResponse.get("status")));
         cluster.submitUntilAccepted(id(2), 2, false);
         cluster.runFor(SimulatedCluster.CANCEL_DEADLINE_S + 1);
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             assertTrue(
                     worker.tasks.values().stream().noneMatch(task -> task.jobId.equals(id(1))),
                     "no cancelled task runs after the deadline");
@@ -368,7 +366,7 @@
         cluster.taskDurationS = 15;
         cluster.submitUntilAccepted(id(1), 8, false);
         assertTrue(cluster.runUntil(60, () -> cluster.pollStatus(id(1), 5).equals("running")));
-        for (SimulatedCluster.Worker worker : new ArrayList<>(cluster.workers.values())) {
+        for (SimulatedWorker worker : new ArrayList<>(cluster.workers.values())) {
             worker.tasks.clear();
             worker.session++;
             worker.leaseStartS = cluster.nowS;
@@ -570,7 +568,7 @@
         // The first messages that it reads after the pause are the reports that waited in its sockets.
         if (pauseS > 4) {
             cluster.nowS = oldLeader.pausedUntilS;
-            for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+            for (SimulatedWorker worker : cluster.workers.values()) {
                 assertFalse(
                         oldLeader.controller.handleReport(worker.createReport())
                                 instanceof Controller.ReportResponse.Commands,
@@ -624,7 +622,7 @@
         cluster.submitUntilAccepted(id(1), 16, false);
         cluster.runFor(25);
         long token = cluster.leader().token();
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.disconnected = true;
             cluster.schedule(20, () -> worker.disconnected = false);
         }
@@ -694,7 +692,7 @@
         int rentedBefore = cluster.machinesRented;
         List<String> machinesBefore = List.copyOf(cluster.workers.keySet());
         assertTrue(machinesBefore.size() >= 5, "idle machines remain");
-        for (SimulatedCluster.Worker worker : cluster.workers.values()) {
+        for (SimulatedWorker worker : cluster.workers.values()) {
             worker.disconnected = true;
             cluster.schedule(60, () -> worker.disconnected = false);
         }
@@ -731,8 +729,8 @@
                                 .sum()
                         == 12));
         cluster.runFor(3);
-        List<SimulatedCluster.Worker> hungWorkers = new ArrayList<>(cluster.workers.values());
-        for (SimulatedCluster.Worker worker : hungWorkers) {
+        List<SimulatedWorker> hungWorkers = new ArrayList<>(cluster.workers.values());
+        for (SimulatedWorker worker : hungWorkers) {
             worker.hungUntilS = cluster.nowS + hangS;
         }
         cluster.runFor(1);
@@ -772,7 +770,7 @@
                         >= 80));
         int machinesBefore = cluster.workers.size();
         int index = 0;
-        for (SimulatedCluster.Worker worker : new ArrayList<>(cluster.workers.values())) {
+        for (SimulatedWorker worker : new ArrayList<>(cluster.workers.values())) {
             if (index < crashCount) {
                 worker.crash();
             } else if (index < crashCount + disconnectCount) {
@@ -800,8 +798,7 @@
         cluster.submitUntilAccepted(id(1), 800, false);
         assertTrue(cluster.runUntil(60, () -> cluster.workers.size() == 6));
         cluster.runFor(8);
-        SimulatedCluster.Worker faultyWorker =
-                cluster.workers.values().iterator().next();
+        SimulatedWorker faultyWorker = cluster.workers.values().iterator().next();
         List<String> healthyMachines = cluster.workers.keySet().stream()
                 .filter(name -> !name.equals(faultyWorker.name))
                 .toList();
--- a/src/test/java/org/mountlug/node/ZoneLoopbackTest.java
+++ b/src/test/java/org/mountlug/node/ZoneLoopbackTest.java
@@ -37,7 +37,7 @@
     }
 
     private static void setZoneIsolated(SimulatedCluster simulation, boolean isolated) {
-        for (SimulatedCluster.Worker worker : simulation.workers.values()) {
+        for (SimulatedWorker worker : simulation.workers.values()) {
             worker.inIsolatedZone = isolated && worker.zone.equals("a");
         }
     }
--- a/src/test/java/org/mountlug/node/ZoneLossTest.java
+++ b/src/test/java/org/mountlug/node/ZoneLossTest.java
@@ -163,8 +163,8 @@
     @Test
     void reclaimedMachinesOfReturningZoneGetNoStarts() {
         ZoneScenario scenario = createFullScenario(ENABLED);
-        List<SimulatedCluster.Worker> reclaimed = scenario.workersIn("a").subList(0, 2);
-        for (SimulatedCluster.Worker worker : reclaimed) {
+        List<SimulatedWorker> reclaimed = scenario.workersIn("a").subList(0, 2);
+        for (SimulatedWorker worker : reclaimed) {
             worker.reclaimedAtS = scenario.cluster.nowS + 60;
             scenario.cluster.schedule(60, worker::crash);
         }
@@ -339,8 +339,8 @@
     void machinesRejoinWithOldSessionsAndReports(double hungS, boolean leaderRestarts) {
         ZoneScenario scenario = createFullScenario(ENABLED);
         scenario.cluster.runFor(2);
-        Map<SimulatedCluster.Worker, List<Report>> oldReports = new HashMap<>();
-        for (SimulatedCluster.Worker worker : scenario.workersIn("a")) {
+        Map<SimulatedWorker, List<Report>> oldReports = new HashMap<>();
+        for (SimulatedWorker worker : scenario.workersIn("a")) {
             oldReports.put(worker, List.copyOf(worker.sentReports));
             worker.hungUntilS = scenario.cluster.nowS + hungS;
         }
--- a/src/test/java/org/mountlug/node/ZoneScenario.java
+++ b/src/test/java/org/mountlug/node/ZoneScenario.java
@@ -56,7 +56,7 @@
 
     /** Cuts the first machines of the zone, {@code share} (0 to 1) of them, off from controllers outside it. */
     void isolate(String zone, double share) {
-        List<SimulatedCluster.Worker> workers = workersIn(zone);
+        List<SimulatedWorker> workers = workersIn(zone);
         for (int i = 0; i < workers.size() * share; i++) {
             workers.get(i).inIsolatedZone = true;
         }
@@ -69,7 +69,7 @@
 
     /** Ends the isolation of the first machines of the zone, {@code share} (0 to 1) of them. */
     void rejoin(String zone, double share) {
-        List<SimulatedCluster.Worker> workers = workersIn(zone);
+        List<SimulatedWorker> workers = workersIn(zone);
         for (int i = 0; i < workers.size() * share; i++) {
             workers.get(i).inIsolatedZone = false;
         }
@@ -87,7 +87,7 @@
         return runUntilState(30, zone, ZoneState.RETURNING);
     }
 
-    List<SimulatedCluster.Worker> workersIn(String zone) {
+    List<SimulatedWorker> workersIn(String zone) {
         return cluster.workers.values().stream()
                 .filter(worker -> worker.zone.equals(zone))
                 .toList();
@@ -131,8 +131,8 @@
     /** Returns the indexes of the active tasks on machines of the zone, by job. */
     Map<String, List<Integer>> activeTasksByJob(String zone) {
         Map<String, List<Integer>> taskIndexes = new HashMap<>();
-        for (SimulatedCluster.Worker worker : workersIn(zone)) {
-            for (SimulatedCluster.Task task : worker.activeTasks()) {
+        for (SimulatedWorker worker : workersIn(zone)) {
+            for (SimulatedTask task : worker.activeTasks()) {
                 taskIndexes
                         .computeIfAbsent(task.jobId, job -> new ArrayList<>())
                         .add(task.index);
