--- a/src/test/java/org/mountlug/node/DirectCommandNetwork.java
+++ b/src/test/java/org/mountlug/node/DirectCommandNetwork.java
@@ -61,7 +61,12 @@
         call.worker().handleCommands(call.body(), response -> {});
     }
 
-    private void recordExecuted(ExecutedCall call) {
+    /** Records a call that a worker has executed, and schedules the copies of it that are drawn; ignores refused ones. */
+    void recordResponse(SimulatedWorker worker, Map<String, Object> body, PooledHttpClient.Response response) {
+        if (response.status() != 200) {
+            return;
+        }
+        ExecutedCall call = new ExecutedCall(worker, body);
         executedCalls.add(call);
         for (double repeatDelayS : repeatDelaysS.get()) {
             cluster.schedule(repeatDelayS, () -> repeat(call));
@@ -79,9 +84,7 @@
             }
             boolean[] answered = new boolean[1];
             Runnable deliver = () -> worker.handleCommands(body, response -> {
-                if (response.status() == 200) {
-                    recordExecuted(new ExecutedCall(worker, body));
-                }
+                recordResponse(worker, body, response);
                 cluster.schedule(LATENCY_S, () -> {
                     if (!answered[0]) {
                         then.accept(response);
--- a/src/test/java/org/mountlug/node/LoopbackCluster.java
+++ b/src/test/java/org/mountlug/node/LoopbackCluster.java
@@ -280,7 +280,10 @@
     void openCommandEndpoint(SimulatedWorker worker) throws IOException {
         worker.address = startHttpServer(request -> {
             if (!worker.inIsolatedZone) {
-                worker.handleCommands(request.body, request.responseHandler);
+                worker.handleCommands(request.body, response -> {
+                    simulation.commandNetwork.recordResponse(worker, request.body, response);
+                    request.responseHandler.accept(response);
+                });
             }
         });
     }
