Tests of repeated commands: a machine is always left, and each call is answered once

The simulated network called back twice for a slow call, with its response and with a timeout, which the real client never does; the second could end the wait for a newer call. It calls back once now, whichever comes first.

New: exited attempts are forgotten beside slow direct commands, during which the token is not raised.

Nothing in src/main changed.

--- a/src/test/java/org/mountlug/node/DirectCommandNetwork.java
+++ b/src/test/java/org/mountlug/node/DirectCommandNetwork.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.mountlug.wire.Fields;
 import org.mountlug.wire.HttpTransport;
@@ -40,7 +41,7 @@
     }
 
     private final SimulatedCluster cluster;
-    /** Seconds by which calls reach workers late; while positive, each also ends in a timeout. */
+    /** Seconds by which calls reach workers late. */
     double delayS;
     /** Calls to workers whose inbound traffic is blocked, for a test to deliver late. */
     final List<Runnable> heldCalls = new ArrayList<>();
@@ -82,34 +83,22 @@
                         timeoutMs / 1000.0, () -> then.accept(new PooledHttpClient.Response(0, Map.of(), false)));
                 return;
             }
-            boolean[] answered = new boolean[1];
+            boolean[] finished = new boolean[1];
+            Consumer<PooledHttpClient.Response> finish = response -> {
+                if (!finished[0]) {
+                    finished[0] = true;
+                    then.accept(response);
+                }
+            };
             Runnable deliver = () -> worker.handleCommands(body, response -> {
                 recordResponse(worker, body, response);
-                cluster.schedule(LATENCY_S, () -> {
-                    if (!answered[0]) {
-                        then.accept(response);
-                    }
-                    answered[0] = true;
-                });
+                cluster.schedule(LATENCY_S, () -> finish.accept(response));
             });
-            if (worker.hungUntilS > cluster.nowS) {
-                cluster.schedule(timeoutMs / 1000.0, () -> {
-                    if (!answered[0]) {
-                        then.accept(new PooledHttpClient.Response(0, Map.of(), true));
-                    }
-                    answered[0] = true;
-                });
-            }
-            if (!worker.inboundBlocked && delayS == 0) {
-                cluster.schedule(LATENCY_S, deliver);
+            cluster.schedule(timeoutMs / 1000.0, () -> finish.accept(new PooledHttpClient.Response(0, Map.of(), true)));
+            if (worker.inboundBlocked) {
+                heldCalls.add(deliver);
             } else {
-                if (worker.inboundBlocked) {
-                    heldCalls.add(deliver);
-                } else {
-                    cluster.schedule(delayS, deliver);
-                }
-                cluster.schedule(
-                        timeoutMs / 1000.0, () -> then.accept(new PooledHttpClient.Response(0, Map.of(), true)));
+                cluster.schedule(delayS == 0 ? LATENCY_S : delayS, deliver);
             }
         };
     }
--- a/src/test/java/org/mountlug/node/RepeatedCommandsTest.java
+++ b/src/test/java/org/mountlug/node/RepeatedCommandsTest.java
@@ -150,7 +150,7 @@
         if (ending == Ending.STOPPED) {
             cluster.cloud.capacity = 2;
         }
-        submit(cluster, 9, "array", 2);
+        submit(cluster, 9, ending == Ending.DONE ? "service" : "array", 2);
         assertTrue(runUntilStarted(cluster, 2));
         cluster.runFor(6);
         ExitCause refusalCause =
@@ -175,6 +175,7 @@
                 "attempts that have exited leave the reports");
         letPass(meanwhile, machines);
         cluster.runFor(delayS);
+        assertTrue(calls.stream().anyMatch(call -> !call.worker().terminated), "a machine is left to get a copy");
         for (int copy = 0; copy < copies; copy++) {
             calls.forEach(cluster.commandNetwork::repeat);
             cluster.runFor(0.5);
@@ -237,6 +238,26 @@
         assertEquals(List.of(), cluster.violations());
     }
 
+    /** While direct commands are in flight the token is not raised, so that slow ones must not keep it from rising for long. */
+    @ParameterizedTest(name = "direct commands {0} s on their way")
+    @ValueSource(doubles = {0.4, 1, 2.2})
+    void exitedAttemptsAreForgottenBesideSlowDirectCommands(double commandDelayS) {
+        cluster.cloud.capacity = 3;
+        cluster.taskDurationS = 1;
+        submit(cluster, 1, "array", 400);
+        cluster.runFor(10);
+        cluster.commandNetwork.delayS = commandDelayS;
+        for (int i = 10; i < 60; i++) {
+            submit(cluster, i, "service", 1);
+            cluster.runFor(1);
+            cluster.controllers.get(0).cancel(jobId(i));
+            int attempts = reportedAttempts();
+            assertTrue(attempts <= 3 * MAX_FORGET_DELAY_S * SimulatedCluster.MACHINE_CPUS, attempts + " attempts");
+        }
+        cluster.commandNetwork.delayS = 0;
+        assertEquals(List.of(), cluster.violations());
+    }
+
     /** During an outage no outcome is durable, so that no attempt is forgotten, but none is started either. */
     @Test
     void exitedAttemptsPileUpNoFurtherDuringAnOutage() {
